--- a/dillhold/src/call.rs
+++ b/dillhold/src/call.rs
@@ -24,7 +24,7 @@
 const GUARD: Nanos = 2 * MS;
 /// Numbers dialled that keep their handle; past that the table starts anew (a handle is never used again).
 const NUMBERS_KEPT: usize = 100_000;
-/// Calls that stand at the most, and releases kept for a caller connection to come.
+/// Calls that stand at the most, and calls that are over and remembered.
 const STANDING_KEPT: usize = 20_000;
 /// How long after the journal said that a machine is gone its own releases may still come.
 const LAST_WORDS: Nanos = 500 * MS;
@@ -335,7 +335,8 @@
             return;
         }
         let class = self.told.classes.iter().position(|c| c.as_bytes() == s.class);
-        let (Some(class), true) = (class, self.open < self.told.max_open) else {
+        let room = self.open < self.told.max_open && self.table.len() < self.told.max_open + STANDING_KEPT;
+        let (Some(class), true) = (class, room) else {
             self.counters.up("taken set-ups unservable");
             return self.say(Some(link), s.id, ToCaller::Failed);
         };
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -39,8 +39,8 @@
 const STILL_COMING: Nanos = 700 * MS;
 /// After the signal to end, nothing is waited for longer than this.
 const LEAVE_AFTER: Nanos = 3_600 * MS;
-/// Bytes that may wait for one caller connection: past the first it is not read from, past the second closed.
-const SLOW_CALLER: [usize; 2] = [64 * 1024, 1024 * 1024];
+/// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
+const SLOW: [usize; 2] = [64 * 1024, 1024 * 1024];
 /// Releases that wait for a caller connection at the most.
 const UNDELIVERED: usize = 20_000;
 
@@ -49,7 +49,9 @@
     session: Exchange,
     address: SocketAddr,
     conn: Option<u64>,
+    /// Refusals in a row, and when the last was counted.
     refused: u32,
+    refused_at: Nanos,
     /// A redial is among the deadlines.
     redial: bool,
 }
@@ -363,9 +365,13 @@
     fn lost(&mut self, token: u64, unmade: bool) {
         let Some(conn) = self.conns.remove(&token) else { return };
         match conn.peer {
-            Peer::Caller(_) => {
+            Peer::Caller(caller) => {
                 self.callers -= 1;
                 self.calls.caller_lost(self.now, token);
+                // A release that crossed the close is said again on another connection.
+                for (id, cause) in caller.unheard(self.now) {
+                    self.say_caller(None, id, &ToCaller::Released(cause));
+                }
             }
             Peer::Journal(_) => {
                 self.calls.counters.up("errors journal connections lost");
@@ -406,9 +412,9 @@
         }
         let left = outbox.pending().len();
         let caller = matches!(conn.peer, Peer::Caller(_));
-        let reads = !(conn.ended || caller && left > SLOW_CALLER[0]);
-        if conn.watch(&self.epoll, token, reads, left > 0).is_err() || caller && left > SLOW_CALLER[1] {
-            self.calls.counters.up("errors slow callers");
+        let reads = !(conn.ended || caller && left > SLOW[0]);
+        if conn.watch(&self.epoll, token, reads, left > 0).is_err() || left > SLOW[1] {
+            self.calls.counters.up("errors slow readers");
             return self.close(token);
         }
         if conn.ended && left == 0 && !self.calls.open_on(token) {
@@ -435,7 +441,7 @@
             }
             if let Entry::Vacant(place) = self.links.entry(id) {
                 let session = Exchange::default();
-                place.insert(Link { session, address, conn: None, refused: 0, redial: false });
+                place.insert(Link { session, address, conn: None, refused: 0, refused_at: 0, redial: false });
                 self.connect(id);
             }
         }
@@ -461,14 +467,19 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         link.conn = None;
         let unsent = link.session.lost();
-        link.refused = if refused { link.refused + 1 } else { 0 };
+        if !refused {
+            link.refused = 0;
+        } else if self.now >= link.refused_at + REDIAL {
+            // Set-ups dial too: refusals of one moment count once.
+            (link.refused, link.refused_at) = (link.refused + 1, self.now);
+        }
         if !link.redial {
             // A connection that was up is made again at once, for what the exchange has to say meanwhile.
             link.redial = true;
             let pause = if unmade { REDIAL } else { 0 };
             self.calls.deadlines.add(self.now + pause, Due::Link(LinkDue::Redial(id)));
         }
-        let ended = link.refused == REFUSALS;
+        let ended = link.refused >= REFUSALS;
         self.calls.exchange_lost(self.now, id, &unsent);
         if ended {
             self.calls.exchange_ended(self.now, id, Nanos::MAX);
@@ -537,7 +548,10 @@
                     self.lost(token, false);
                 }
             }
-            LinkDue::StopListening => self.listener = None,
+            LinkDue::StopListening => {
+                self.accept();
+                self.listener = None;
+            }
             LinkDue::Leave => self.leave = true,
         }
     }
@@ -576,7 +590,7 @@
         };
         let conn = token.and_then(|token| self.conns.get_mut(&token));
         match (conn.map(|c| &mut c.peer), say) {
-            (Some(Peer::Caller(caller)), say) => caller.say(id, say),
+            (Some(Peer::Caller(caller)), say) => caller.say(self.now, id, say),
             (_, ToCaller::Released(cause)) if self.undelivered.len() < UNDELIVERED => {
                 self.undelivered.push((id, *cause));
             }
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -1,20 +1,28 @@
 //! A connection from callers, in binary messages.
 
+use std::collections::VecDeque;
+
+use pitchgw::interface::Nanos;
+
 use crate::call::{CallerLink, Calls, FromCaller, SetUp, ToCaller};
 use crate::clock::MS;
 use crate::codec::binary::{self, kind, param, Message};
 use crate::codec::{figures, Unreadable};
 use crate::session::{drain, Inbox, Outbox};
-use pitchgw::interface::Nanos;
 
 /// Refused for want of room on the way (Q.850 42, switching equipment congestion): trying again is harmless.
 const REFUSED: u8 = 42;
 /// Failed (Q.850 41, temporary failure).
 const FAILED: u8 = 41;
+/// Releases not known to be heard that are kept, and for how long.
+const UNHEARD_KEPT: usize = 1024;
+const UNHEARD_FOR: Nanos = 1_000 * MS;
 
 /// The state of one connection.
 #[derive(Debug, Default)]
 pub struct Caller {
+    /// Releases said here and not heard yet, in order.
+    unheard: VecDeque<(Nanos, u64, u8)>,
     /// What came.
     pub inbox: Inbox,
     /// What is to be written.
@@ -24,7 +32,7 @@
 impl Caller {
     /// Takes in what is in the inbox. An error means that the connection has to be closed.
     pub fn feed(&mut self, now: Nanos, link: CallerLink, calls: &mut Calls) -> Result<(), Unreadable> {
-        let out = &mut self.outbox;
+        let (out, unheard) = (&mut self.outbox, &mut self.unheard);
         drain(&mut self.inbox, |rest| {
             let Some((message, taken)) = binary::parse(rest)? else { return Ok(None) };
             match message.kind {
@@ -37,7 +45,7 @@
                     calls.counters.up("answered tests");
                     binary::write(out.buffer(), kind::TESTED, message.call, &[(param::CAUSE, &[1])]);
                 }
-                kind::RELEASE_HEARD => calls.counters.up("taken releases heard"),
+                kind::RELEASE_HEARD => unheard.retain(|(_, id, _)| *id != message.call),
                 _ => calls.counters.up("taken messages skipped"),
             }
             Ok(Some(taken))
@@ -45,7 +53,7 @@
     }
 
     /// Writes what a caller is told.
-    pub fn say(&mut self, id: u64, say: &ToCaller) {
+    pub fn say(&mut self, now: Nanos, id: u64, say: &ToCaller) {
         let out = self.outbox.buffer();
         match say {
             ToCaller::Answer(description) => {
@@ -59,12 +67,25 @@
             }
             ToCaller::Failed => binary::write(out, kind::RELEASE, id, &[(param::CAUSE, &[FAILED])]),
             ToCaller::Released(cause) => {
+                self.unheard.push_back((now, id, *cause));
+                while self.unheard.len() > UNHEARD_KEPT {
+                    self.unheard.pop_front();
+                }
                 binary::write(out, kind::RELEASE, id, &[(param::CAUSE, &[*cause])]);
             }
         }
     }
 }
 
+impl Caller {
+    /// The releases that may not have arrived, now that the connection is gone. A caller need not tell that it
+    /// heard one, so those of long ago are not said again.
+    pub fn unheard(self, now: Nanos) -> impl Iterator<Item = (u64, u8)> {
+        let lately = self.unheard.into_iter().filter(move |(at, ..)| now < at + UNHEARD_FOR);
+        lately.map(|(_, id, cause)| (id, cause))
+    }
+}
+
 /// A whole number in text, zero or above.
 fn number<T: std::str::FromStr>(text: &[u8]) -> Option<T> {
     std::str::from_utf8(text).ok().and_then(|t| t.trim().parse().ok())
