--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -52,6 +52,8 @@
     /// Refusals in a row, and when the last was counted.
     refused: u32,
     refused_at: Nanos,
+    /// When a connection last came up.
+    up_at: Nanos,
     /// A redial is among the deadlines.
     redial: bool,
 }
@@ -299,7 +301,7 @@
     fn up(&mut self, token: u64) {
         if let Some(Peer::Exchange(id)) = self.conns.get(&token).map(|c| &c.peer) {
             if let Some(link) = self.links.get_mut(id) {
-                link.refused = 0;
+                (link.refused, link.up_at) = (0, self.now);
             }
             self.calls.counters.up("sent exchange connections");
         }
@@ -441,7 +443,15 @@
             }
             if let Entry::Vacant(place) = self.links.entry(id) {
                 let session = Exchange::default();
-                place.insert(Link { session, address, conn: None, refused: 0, refused_at: 0, redial: false });
+                place.insert(Link {
+                    session,
+                    address,
+                    conn: None,
+                    refused: 0,
+                    refused_at: 0,
+                    up_at: 0,
+                    redial: false,
+                });
                 self.connect(id);
             }
         }
@@ -474,9 +484,10 @@
             (link.refused, link.refused_at) = (link.refused + 1, self.now);
         }
         if !link.redial {
-            // A connection that was up is made again at once, for what the exchange has to say meanwhile.
+            // A connection that was up is made again at once, for what the exchange has to say meanwhile; one
+            // that ended as soon as it was up is not, or the two would keep each other busy.
             link.redial = true;
-            let pause = if unmade { REDIAL } else { 0 };
+            let pause = if unmade || self.now < link.up_at + REDIAL { REDIAL } else { 0 };
             self.calls.deadlines.add(self.now + pause, Due::Link(LinkDue::Redial(id)));
         }
         let ended = link.refused >= REFUSALS;
--- /dev/null
+++ b/dillhold/tests/common/mod.rs
@@ -0,0 +1,196 @@
+//! The program with everything it talks to, on loopback sockets.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use dillhold::codec::{binary, sip};
+use dillhold::session::Inbox;
+use serde_json::{json, Value};
+
+pub const DESCRIPTION: &[u8] = b"5f716a7cc1d37084\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0\r\n\xff\0";
+
+/// What a caller was told: the type, the call, the cause or 0, the description.
+pub type Told = (u8, u64, u8, Vec<u8>);
+
+/// One end of a connection, with what was read and not yet taken.
+pub struct Wire {
+    pub stream: TcpStream,
+    inbox: Inbox,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Wire {
+        // Long enough for any machine: a test that fails waits so long, one that passes does not.
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Wire { stream, inbox: Inbox::default() }
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Reads until `parse` finds something.
+    fn next<T>(&mut self, parse: impl Fn(&[u8]) -> Option<(T, usize)>) -> T {
+        loop {
+            if let Some((found, taken)) = parse(self.inbox.rest()) {
+                self.inbox.take(taken);
+                return found;
+            }
+            let count = self.stream.read(self.inbox.room()).expect("a message in time");
+            assert!(count > 0, "the connection ended");
+            self.inbox.filled(count);
+        }
+    }
+
+    /// The next binary message.
+    pub fn told(&mut self) -> Told {
+        self.next(|bytes| {
+            let (m, taken) = binary::parse(bytes).unwrap()?;
+            let description = m.parameter(binary::param::DESCRIPTION).unwrap_or_default().to_vec();
+            Some(((m.kind, m.call, m.cause().unwrap_or(0), description), taken))
+        })
+    }
+
+    /// The next SIP message, which has to start like this: its `Call-ID`, number of `CSeq` and whole text.
+    pub fn sip(&mut self, start: &str) -> (u64, u32, Vec<u8>) {
+        let (id, number, text) = self.next(|bytes| {
+            let (m, taken) = sip::parse(bytes).unwrap()?;
+            let number = m.sequence().expect("a CSeq").0;
+            Some(((m.call().expect("a Call-ID"), number, bytes[..taken].to_vec()), taken))
+        });
+        let shown = String::from_utf8_lossy(&text);
+        assert!(shown.starts_with(start), "expected {start}, came {shown}");
+        (id, number, text)
+    }
+
+    /// Responds to a set-up, or says something of a call.
+    pub fn say_sip(&mut self, line: &str, id: u64, sequence: (u32, &str), further: &str, body: &[u8]) {
+        let mut out = Vec::new();
+        let call = format!("{id:016x}");
+        sip::write(
+            &mut out,
+            format_args!("{line}"),
+            call.as_bytes(),
+            sequence,
+            format_args!("{further}"),
+            body,
+        );
+        self.send(&out);
+    }
+
+    pub fn say(&mut self, kind: u8, id: u64, parameters: &[(u8, &[u8])]) {
+        let mut out = Vec::new();
+        binary::write(&mut out, kind, id, parameters);
+        self.send(&out);
+    }
+
+    /// A set-up of three seconds for exchange 1, advised by way of exchange 2.
+    pub fn set_up(&mut self, id: u64) {
+        self.say(
+            1,
+            id,
+            &[
+                (100, b"view"),
+                (101, b"3000"),
+                (104, b"7f3a9c21e0b4d655"),
+                (105, b"dest:1;width:1;via:2"),
+                (115, DESCRIPTION),
+            ],
+        );
+    }
+
+    /// Comes to know that nothing else was said: a test is answered next.
+    pub fn nothing_else(&mut self) {
+        self.say(52, 99, &[(114, &[0])]);
+        assert_eq!(self.told(), (53, 99, 1, Vec::new()));
+    }
+}
+
+/// The program; it is ended with the test.
+pub struct Program {
+    pub child: Child,
+    pub listen: SocketAddr,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Program {
+    pub fn caller(&self) -> Wire {
+        Wire::new(TcpStream::connect(self.listen).unwrap())
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+}
+
+pub fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+pub fn accept(listener: &TcpListener) -> Wire {
+    Wire::new(listener.accept().unwrap().0)
+}
+
+/// A line of the journal.
+pub fn target(number: usize, uid: &str, address: SocketAddr, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": address, "az": "east", "model": "std", "pod_group": number,
+           "state": state, "capacity_hint": 1, "boot_ms": 0})
+}
+
+fn config_path(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("dillhold-test-{}-{name}.json", std::process::id()))
+}
+
+pub fn launch(config: &str, name: &str) -> Child {
+    let path = config_path(name);
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dillhold"));
+    command.env("EDGE_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+/// Starts the program, which is exchange 0, with the others on its list, and waits until it passes a test.
+pub fn start(name: &str, journal: SocketAddr, others: &[&TcpListener]) -> Program {
+    let listen = listener().local_addr().unwrap();
+    let targets = others.iter().enumerate().map(|(i, l)| {
+        let number = i + 1;
+        target(number, &format!("s-{number}"), l.local_addr().unwrap(), "SERVING")
+    });
+    let targets: Vec<Value> =
+        targets.chain([target(0, "s-0", "127.0.0.1:1".parse().unwrap(), "SERVING")]).collect();
+    let config = json!({
+        "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "journal": journal,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": true, "targets": targets}}]},
+        "settings": {
+            "az": "east", "dcs": ["east"], "instances": 3, "my-number": 0, "tick": 5_000_000,
+            "family-info": {"shape": "meshed", "home-no": 0, "release": 300_000_000, "resend": 500_000_000,
+                            "circuits-by-class": [1], "mean-hold": [11_400_000_000u64]},
+            "grades": [{"name": "view", "aim": 1_200_000_000, "deadline": 9_000_000_000u64, "worth": 1.0,
+                        "late-worth": 0.25, "idempotency": "safe"}],
+            "permissions": {"attempts-cap": 5, "cancel": true, "connect-timeout": 500_000_000},
+            "report": {"fields": ["spare", "total"], "how": "probe"},
+            "rules": {"answer-slack": 20_000_000, "cold": 15_000_000_000u64, "cold-from": 0.34,
+                      "drain-grace": 500_000_000, "overload-factor": 2.0, "overload-for": 2_000_000_000}
+        }
+    });
+    let mut program = Program { child: launch(&config.to_string(), name), listen };
+    let up = std::iter::repeat_with(|| {
+        std::thread::sleep(Duration::from_millis(5));
+        assert!(program.child.try_wait().unwrap().is_none(), "the program ended");
+        TcpStream::connect(listen)
+    });
+    let stream = up.take(4000).find_map(Result::ok).expect("the program listens");
+    Wire::new(stream).nothing_else();
+    let _ = std::fs::remove_file(config_path(name));
+    program
+}
--- /dev/null
+++ b/dillhold/tests/program.rs
@@ -0,0 +1,243 @@
+//! The program itself, spoken to over loopback sockets as callers, exchanges and the journal would.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+use common::*;
+use serde_json::json;
+
+/// Two exchanges with the program's connections to them, a caller and the program.
+fn scene(name: &str) -> (Program, Wire, Wire, Wire, [std::net::TcpListener; 3]) {
+    let sockets = [listener(), listener(), listener()];
+    let program = start(name, sockets[0].local_addr().unwrap(), &[&sockets[1], &sockets[2]]);
+    let (first, second) = (accept(&sockets[1]), accept(&sockets[2]));
+    let caller = program.caller();
+    (program, caller, first, second, sockets)
+}
+
+/// Brings call `id` to stand at `exchange`.
+fn stand(caller: &mut Wire, exchange: &mut Wire, id: u64) {
+    caller.set_up(id);
+    let (_, number, _) = exchange.sip("INVITE ");
+    exchange.say_sip("SIP/2.0 200 OK", id, (number, "INVITE"), "", DESCRIPTION);
+    exchange.sip("ACK ");
+    assert_eq!(caller.told(), (9, id, 0, DESCRIPTION.to_vec()));
+}
+
+#[test]
+fn a_call_passes_byte_for_byte_and_its_release_passes_back() {
+    let (_program, mut caller, mut exchange, _, _l) = scene("passes");
+    caller.set_up(0x7f3a9c21e0b4d6aa);
+    let (id, number, text) = exchange.sip("INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\n");
+    assert_eq!((id, number), (0x7f3a9c21e0b4d6aa, 1));
+    assert!(text.ends_with(DESCRIPTION));
+    let head = String::from_utf8_lossy(&text);
+    assert!(head.contains("\r\nX-Service: view\r\n") && head.contains("\r\nX-Setup-Ms: "), "{head}");
+    // Cut in the middle, after a provisional response.
+    let mut answer = b"SIP/2.0 180 Ringing\r\nCall-ID: 7f3a9c21e0b4d6aa\r\nCSeq: 1 INVITE\r\n\r\n".to_vec();
+    answer.extend(
+        b"SIP/2.0 200 OK\r\nCall-ID: 7f3a9c21e0b4d6aa\r\nCSeq: 1 INVITE\r\nContent-Length: 5\r\n\r\nab",
+    );
+    exchange.send(&answer);
+    caller.nothing_else();
+    exchange.send(b"cde");
+    assert_eq!(caller.told(), (9, id, 0, b"abcde".to_vec()));
+    exchange.sip("ACK ");
+    exchange.say_sip("BYE sip:x@net SIP/2.0", id, (2, "BYE"), "Reason: Q.850;cause=41\r\n", b"");
+    exchange.sip("SIP/2.0 200 ");
+    assert_eq!(caller.told(), (12, id, 41, vec![]));
+    caller.nothing_else();
+}
+
+#[test]
+fn a_standing_call_is_released_on_any_connection() {
+    let (program, mut caller, mut exchange, _, _l) = scene("any");
+    stand(&mut caller, &mut exchange, 1);
+    stand(&mut caller, &mut exchange, 2);
+    let mut other = program.caller();
+    other.nothing_else();
+    drop(caller);
+    other.say(12, 1, &[(114, &[16])]);
+    let (id, _, text) = exchange.sip("BYE ");
+    assert!(id == 1 && String::from_utf8_lossy(&text).contains("Reason: Q.850;cause=16"));
+    exchange.say_sip("BYE sip:x@net SIP/2.0", 2, (2, "BYE"), "Reason: Q.850;cause=16\r\n", b"");
+    assert_eq!(other.told(), (12, 2, 16, vec![]));
+}
+
+#[test]
+fn a_caller_that_gives_up_frees_the_exchange_even_when_the_answer_crosses() {
+    let (_program, mut caller, mut exchange, _, _l) = scene("gives-up");
+    caller.set_up(5);
+    exchange.sip("INVITE ");
+    caller.say(12, 5, &[(114, &[16])]);
+    assert_eq!(exchange.sip("CANCEL ").0, 5);
+    exchange.say_sip("SIP/2.0 200 OK", 5, (1, "CANCEL"), "", b"");
+    exchange.say_sip("SIP/2.0 200 OK", 5, (1, "INVITE"), "", DESCRIPTION);
+    exchange.sip("ACK ");
+    assert_eq!(exchange.sip("BYE ").0, 5);
+    caller.nothing_else();
+}
+
+#[test]
+fn a_late_answer_of_an_earlier_attempt_does_not_count_for_the_present_one() {
+    let (_program, mut caller, mut first, mut second, _l) = scene("late");
+    caller.set_up(6);
+    first.sip("INVITE ");
+    let ended = Instant::now();
+    first.say_sip("SIP/2.0 504 Reset", 6, (1, "INVITE"), "", b"");
+    first.sip("ACK ");
+    let (id, number, _) = second.sip("INVITE ");
+    assert!(id == 6 && number == 2);
+    assert!(ended.elapsed() >= Duration::from_millis(300), "what the first left behind may still stay taken");
+    first.say_sip("SIP/2.0 200 OK", 6, (1, "INVITE"), "", b"stale");
+    first.sip("ACK ");
+    first.sip("BYE ");
+    caller.nothing_else();
+    second.say_sip("SIP/2.0 200 OK", 6, (2, "INVITE"), "", DESCRIPTION);
+    assert_eq!(caller.told(), (9, 6, 0, DESCRIPTION.to_vec()));
+}
+
+#[test]
+fn refusals_and_failures_have_their_causes_and_come_once() {
+    let (_program, mut caller, mut exchange, _, _l) = scene("causes");
+    caller.set_up(7);
+    exchange.sip("INVITE ");
+    exchange.say_sip("SIP/2.0 486 Busy", 7, (1, "INVITE"), "X-Cause: lines_busy\r\n", b"");
+    let (kind, id, cause, _) = caller.told();
+    assert!(kind == 12 && id == 7 && [34, 42, 102].contains(&cause), "{kind} {id} {cause}");
+    caller.nothing_else();
+    // A class that is not in the settings, and a set-up without figures.
+    caller.say(1, 8, &[(100, b"none"), (101, b"900"), (104, b"1"), (105, b"dest:1")]);
+    caller.say(1, 9, &[(100, b"view"), (101, b"900"), (104, b"1"), (200, b"odd")]);
+    for id in [8, 9] {
+        let (kind, told, cause, _) = caller.told();
+        assert!(kind == 12 && told == id && ![34, 42, 102].contains(&cause));
+    }
+    caller.nothing_else();
+}
+
+#[test]
+fn an_attempt_whose_connection_dies_is_waited_out_and_a_dead_exchange_cuts_its_calls() {
+    let (_program, mut caller, mut first, mut second, sockets) = scene("dies");
+    stand(&mut caller, &mut first, 10);
+    caller.set_up(11);
+    first.sip("INVITE ");
+    let [_journal, gone, _second] = sockets;
+    drop(gone);
+    let died = Instant::now();
+    drop(first);
+    let (id, number, _) = second.sip("INVITE ");
+    assert!(id == 11 && number == 2);
+    assert!(died.elapsed() >= Duration::from_millis(300));
+    second.say_sip("SIP/2.0 200 OK", 11, (2, "INVITE"), "", b"x");
+    let mut told = [caller.told(), caller.told()];
+    told.sort();
+    assert_eq!(told, [(9, 11, 0, b"x".to_vec()), (12, 10, 41, vec![])]);
+}
+
+#[test]
+fn bad_bytes_close_their_own_connection_only() {
+    let (program, mut caller, mut exchange, _, sockets) = scene("bad");
+    let mut bad = program.caller();
+    bad.send(&[0, 3, 1, 2, 3]);
+    assert_eq!(bad.stream.read(&mut [0; 8]).unwrap_or(0), 0);
+    exchange.send(b"no SIP at all\r\n\r\n");
+    assert!(matches!(exchange.stream.read(&mut [0; 8]), Ok(0) | Err(_)));
+    let mut again = accept(&sockets[1]);
+    stand(&mut caller, &mut again, 12);
+}
+
+#[test]
+fn a_half_closed_caller_still_gets_its_answer() {
+    let (_program, mut caller, mut exchange, _, _l) = scene("half");
+    caller.set_up(13);
+    caller.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let (_, number, _) = exchange.sip("INVITE ");
+    exchange.say_sip("SIP/2.0 200 OK", 13, (number, "INVITE"), "", b"y");
+    assert_eq!(caller.told(), (9, 13, 0, b"y".to_vec()));
+    assert_eq!(caller.stream.read(&mut [0; 8]).unwrap(), 0, "and then the connection ends");
+}
+
+#[test]
+fn calls_of_before_a_restart_are_released_both_ways() {
+    let (_program, mut caller, mut first, mut second, _l) = scene("before");
+    first.say_sip("BYE sip:x@net SIP/2.0", 14, (2, "BYE"), "Reason: Q.850;cause=16\r\n", b"");
+    first.sip("SIP/2.0 200 ");
+    assert_eq!(caller.told(), (12, 14, 16, vec![]));
+    caller.say(12, 15, &[(114, &[16])]);
+    assert_eq!([first.sip("BYE ").0, second.sip("BYE ").0], [15, 15]);
+}
+
+#[test]
+fn a_bad_journal_answer_is_asked_for_again_and_a_new_machine_is_connected() {
+    let (program, mut caller, _first, _second, sockets) = scene("journal");
+    let ask = |listener: &std::net::TcpListener| {
+        let mut wire = accept(listener);
+        let mut seen = [0; 512];
+        let count = wire.stream.read(&mut seen).unwrap();
+        let asked = String::from_utf8_lossy(&seen[..count]).into_owned();
+        assert!(asked.starts_with("GET /journal?tail=1&max_wait="), "{asked}");
+        wire
+    };
+    ask(&sockets[0]).send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"pos\": x");
+    let mut wire = ask(&sockets[0]);
+    let newcomer = listener();
+    let address = newcomer.local_addr().unwrap();
+    // The machine that bears number 1 is replaced by one at another address.
+    let old = sockets[1].local_addr().unwrap();
+    let targets = [target(1, "s-1", old, "DRAINING"), target(1, "s-9", address, "SERVING")];
+    let hosts = json!({"rev": 2, "all": false, "targets": targets});
+    let body = json!({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]}).to_string();
+    wire.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).as_bytes());
+    let mut exchange = accept(&newcomer);
+    stand(&mut caller, &mut exchange, 16);
+    drop(program);
+}
+
+#[test]
+fn after_sigterm_it_serves_on_finishes_and_ends_with_its_counters() {
+    let (mut program, mut caller, mut exchange, _, _l) = scene("ends");
+    caller.set_up(17);
+    exchange.sip("INVITE ");
+    program.signal("-TERM");
+    let mut late = program.caller();
+    late.set_up(18);
+    exchange.sip("INVITE ");
+    for (id, wire) in [(17, &mut caller), (18, &mut late)] {
+        exchange.say_sip("SIP/2.0 200 OK", id, (1, "INVITE"), "", b"z");
+        assert_eq!(wire.told(), (9, id, 0, b"z".to_vec()));
+    }
+    assert!(program.child.wait().unwrap().success());
+    let mut printed = String::new();
+    program.child.stderr.take().unwrap().read_to_string(&mut printed).unwrap();
+    assert!(printed.contains("counter answered stands 2\n"), "{printed}");
+}
+
+#[test]
+fn counters_are_printed_on_request() {
+    let (mut program, mut caller, mut exchange, _, _l) = scene("counters");
+    stand(&mut caller, &mut exchange, 19);
+    program.signal("-USR1");
+    let mut stderr = program.child.stderr.take().unwrap();
+    let mut printed = String::new();
+    while !printed.contains("counter taken set-ups 1\n") {
+        let mut bytes = [0; 1024];
+        let count = stderr.read(&mut bytes).unwrap();
+        assert!(count > 0, "the program ended: {printed}");
+        printed.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    caller.stream.flush().unwrap();
+    caller.nothing_else();
+}
+
+#[test]
+fn a_bad_configuration_gives_one_plain_line() {
+    for (name, config) in [("cut", "{\"listen\":"), ("empty", "{}")] {
+        let ended = launch(config, name).wait_with_output().unwrap();
+        assert!(!ended.status.success());
+        let said = String::from_utf8(ended.stderr).unwrap();
+        assert!(said.starts_with("dillhold: configuration: ") && said.lines().count() == 1, "{said}");
+    }
+}
