--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -249,7 +249,10 @@
         }
         let number = host.pod_group;
         let zone = self.zones.iter().position(|z| *z == host.az).unwrap_or(self.zones.len()) as u32;
-        self.machines.insert(id, Machine { address: host.endpoint, number, standing, since, uid: host.uid });
+        if known.is_some() || standing != Standing::Gone {
+            let (address, uid) = (host.endpoint, host.uid);
+            self.machines.insert(id, Machine { address, number, standing, since, uid });
+        }
         Entry { exchange: id, number, zone, since, standing }
     }
 }
@@ -257,3 +260,53 @@
 /// Events are missing; what came before the gap was taken in.
 #[derive(Debug)]
 pub struct MissingEvents(pub News);
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn answer(events: &[(u64, bool, &[(&str, &str, u64)])]) -> Answer {
+        let entries = events.iter().map(|(pos, all, targets)| {
+            let targets = targets.iter().map(|(uid, state, boot)| {
+                json!({"uid": uid, "endpoint": "10.1.0.9:2905", "az": "b", "pod_group": 2, "state": state,
+                       "boot_ms": boot})
+            });
+            json!({"pos": pos, "hosts": {"all": all, "targets": targets.collect::<Vec<_>>()}})
+        });
+        serde_json::from_value(json!({"pos": 9, "entries": entries.collect::<Vec<_>>()})).unwrap()
+    }
+
+    fn directory() -> Directory {
+        let mut directory = Directory::new(&json!({"dcs": ["a", "b"]}));
+        let first: &[_] = &[("s-1", "SERVING", 0), ("s-2", "SERVING", 0)];
+        let news = directory.take(answer(&[(1, true, first)])).unwrap();
+        assert_eq!(news.lists[0].0, ListKind::Restored);
+        assert_eq!(news.lists[0].1[0].zone, 1);
+        directory
+    }
+
+    #[test]
+    fn a_restart_and_a_deletion_end_a_machine_and_a_drain_does_not() {
+        let mut directory = directory();
+        let events: &[_] = &[("s-1", "DRAINING", 0), ("s-2", "SERVING", 1_796_136_102_515)];
+        let news = directory.take(answer(&[(1, false, events), (2, false, events)])).unwrap();
+        assert_eq!(news.lists.len(), 1, "an event that is known is not told again");
+        assert_eq!(news.lists[0].1[1].since, Some(1_796_136_102_515_000_000));
+        assert_eq!(news.ended, vec![1]);
+        let events: &[_] = &[("s-1", "DELETED", 0), ("s-7", "DELETED", 0)];
+        assert_eq!(directory.take(answer(&[(3, false, events)])).unwrap().ended, vec![0]);
+        directory.drop_gone(0);
+        assert_eq!(directory.machines().map(|(id, _)| id).collect::<Vec<_>>(), vec![1]);
+    }
+
+    #[test]
+    fn missing_events_are_asked_for_from_the_start_and_a_whole_list_ends_who_is_not_on_it() {
+        let mut directory = directory();
+        let one: &[_] = &[("s-1", "SERVING", 0)];
+        assert!(directory.take(answer(&[(4, false, one)])).is_err());
+        assert_eq!(directory.position, 0);
+        let news = directory.take(answer(&[(1, true, one), (2, false, one)])).unwrap();
+        assert_eq!((news.lists[0].0, news.ended), (ListKind::Whole, vec![1]));
+        assert_eq!(directory.position, 2);
+    }
+}
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -74,8 +74,9 @@
     links: BTreeMap<ExchangeId, Link>,
     journal: SocketAddr,
     journal_conn: Option<u64>,
-    /// When the journal was last asked.
+    /// When the journal was last asked, and whether its answer is still to come.
     asked: Nanos,
+    asking: bool,
     undelivered: Vec<(u64, u8)>,
     ending: bool,
     leave: bool,
@@ -135,6 +136,7 @@
             journal: config.journal,
             journal_conn: None,
             asked: 0,
+            asking: false,
             undelivered: Vec::new(),
             ending: false,
             leave: false,
@@ -377,7 +379,7 @@
             }
             Peer::Journal(_) => {
                 self.calls.counters.up("errors journal connections lost");
-                self.journal_conn = None;
+                (self.journal_conn, self.asking) = (None, false);
                 self.calls.deadlines.add(self.now + ASK_AGAIN, Due::Link(LinkDue::Ask));
             }
             Peer::Exchange(id) => {
@@ -502,6 +504,9 @@
     // -----------------------------------------------------------------------------------------------------
 
     fn ask_journal(&mut self) {
+        if self.asking {
+            return; // a second question would never be caught up with
+        }
         if self.journal_conn.is_none() {
             self.journal_conn = self.dial(self.journal, Peer::Journal(Journal::default())).ok();
         }
@@ -511,18 +516,20 @@
             return self.calls.deadlines.add(now + ASK_AGAIN, Due::Link(LinkDue::Ask));
         };
         journal.ask(after, host);
-        self.asked = now;
+        (self.asked, self.asking) = (now, true);
         let until = now + (HOLD_MS + 1_000) * MS;
         self.calls.deadlines.add(until, Due::Link(LinkDue::Journal(token)));
     }
 
     fn journal_answered(&mut self, answer: directory::Answer, kept: bool) {
         self.calls.counters.up("taken journal answers");
+        self.asking = false;
         // An answer with nothing in it comes after the time asked for. One that comes sooner is not asked for
         // again at once, or the two would keep each other busy.
-        let hasty = answer.entries.is_empty() && self.now < self.asked + HOLD_MS * MS / 2;
+        let mut hasty = answer.entries.is_empty() && self.now < self.asked + HOLD_MS * MS / 2;
         let news = self.calls.directory.take(answer).unwrap_or_else(|missing| {
             self.calls.counters.up("errors journal events missing");
+            hasty = true;
             missing.0
         });
         self.calls.news(self.now, news);
