--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -265,7 +265,10 @@
 mod tests {
     use super::*;
 
-    fn answer(events: &[(u64, bool, &[(&str, &str, u64)])]) -> Answer {
+    /// Uid, state and `boot_ms`.
+    type Target = (&'static str, &'static str, u64);
+
+    fn answer(events: &[(u64, bool, &[Target])]) -> Answer {
         let entries = events.iter().map(|(pos, all, targets)| {
             let targets = targets.iter().map(|(uid, state, boot)| {
                 json!({"uid": uid, "endpoint": "10.1.0.9:2905", "az": "b", "pod_group": 2, "state": state,
