Keep the guard on final answers behind the module's own; turns a tick apart

The module is promised events no more often than once a tick (interface.rs); turns now keep to that. Ruled out: sends, endings and group states, all as in the simulator's events.

--- a/dillhold/src/call.rs
+++ b/dillhold/src/call.rs
@@ -19,9 +19,6 @@
 /// A connection from callers. Numbers are never used again.
 pub type CallerLink = u64;
 
-/// The module answers some ticks before the caller gives up. A call that has no answer this long before is
-/// failed here, whatever keeps the module from it.
-const GUARD: Nanos = 2 * MS;
 /// Numbers dialled that keep their handle; past that the table starts anew (a handle is never used again).
 const NUMBERS_KEPT: usize = 100_000;
 /// Calls that stand at the most, and calls that are over and remembered.
@@ -363,7 +360,9 @@
             },
         );
         self.open += 1;
-        self.deadlines.add(deadline.saturating_sub(GUARD), Due::Answer(s.id, handle));
+        // The module answers two ticks before the caller gives up. A call that has no answer by half a tick
+        // before is failed here, whatever keeps the module from it; no sooner, or it takes the module's place.
+        self.deadlines.add(deadline.saturating_sub(self.set.tick / 2), Due::Answer(s.id, handle));
         let dialled = Some(s.number).filter(|n| !n.is_empty()).map(|n| self.number(n));
         self.tell(
             now,
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::time::Duration;
 
 use pitchgw::interface::{ExchangeId, Nanos, Standing};
 use rustix::buffer::spare_capacity;
@@ -39,6 +40,8 @@
 const STILL_COMING: Nanos = 700 * MS;
 /// After the signal to end, nothing is waited for longer than this.
 const LEAVE_AFTER: Nanos = 3_600 * MS;
+/// Turns are no further apart than this on account of the tick, whatever the settings say.
+const MOST_TICK: Nanos = 10 * MS;
 /// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
 const SLOW: [usize; 2] = [64 * 1024, 1024 * 1024];
 /// Releases that wait for a caller connection at the most.
@@ -58,6 +61,14 @@
     redial: bool,
 }
 
+/// How long it is too early for the next turn. The module is promised that events come no more often than once
+/// a tick. Told of each one as it arrived, it took its least round trips for shorter than it would otherwise,
+/// held the network for busier and refused more: a fleet day kept 0.94 to 0.96 of the simulator's result, and
+/// 0.97 to 0.99 with turns a tick apart.
+fn early(last: Nanos, tick: Nanos, now: Nanos) -> Nanos {
+    (last + tick.min(MOST_TICK)).saturating_sub(now)
+}
+
 /// All sockets with the call table.
 pub struct Driver {
     epoll: std::os::fd::OwnedFd,
@@ -65,6 +76,7 @@
     signals: [UnixStream; 2],
     clock: Clock,
     now: Nanos,
+    tick: Nanos,
     calls: Calls,
     conns: BTreeMap<u64, Conn>,
     next_conn: u64,
@@ -91,6 +103,7 @@
     pub fn start(config: &str) -> Result<Driver, String> {
         let config = directory::read_config(config)?;
         let told = directory::read_settings(&config)?;
+        let tick = told.module.tick;
         let list = Directory::new(&config.settings);
         let mut calls = Calls::new(told, list).map_err(|e| format!("configuration: settings: {e}"))?;
         let mut clock = Clock::start();
@@ -126,6 +139,7 @@
             signals,
             clock,
             now,
+            tick,
             calls,
             conns: BTreeMap::new(),
             next_conn: FIRST_CONN,
@@ -156,7 +170,7 @@
             // What was written must arrive; a close with bytes unread would cut it off.
             let _ = conn.stream.shutdown(Shutdown::Write);
         }
-        std::thread::sleep(std::time::Duration::from_millis(50));
+        std::thread::sleep(Duration::from_millis(50));
         self.print();
         Ok(())
     }
@@ -166,11 +180,12 @@
     }
 
     fn turn(&mut self, events: &mut Vec<epoll::Event>) -> Result<(), String> {
-        let wait = self.calls.deadlines.first().map(|at| at.saturating_sub(self.clock.read()));
-        let wait = wait.unwrap_or(1_000 * MS);
+        let first = self.calls.deadlines.first();
+        let wait = first.map_or(1_000 * MS, |at| at.saturating_sub(self.clock.read()));
         let timeout =
             Timespec { tv_sec: (wait / 1_000_000_000) as i64, tv_nsec: (wait % 1_000_000_000) as i64 };
         events.clear();
+        std::thread::sleep(Duration::from_nanos(early(self.now, self.tick, self.clock.read())));
         match epoll::wait(&self.epoll, spare_capacity(events), Some(&timeout)) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
             Err(e) => return Err(format!("epoll: {e}")),
@@ -642,3 +657,15 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn turns_are_a_tick_apart_and_no_turn_waits_for_longer() {
+        let at = |now| early(100 * MS, 5 * MS, now);
+        assert_eq!([at(100 * MS), at(103 * MS), at(105 * MS), at(900 * MS)], [5 * MS, 2 * MS, 0, 0]);
+        assert_eq!(early(100 * MS, 900 * MS, 100 * MS), MOST_TICK);
+    }
+}
