Release at the exchange what stands when its answer could not reach the caller

Read over, not measured: an answer still in the outbox when its caller's connection died left a call standing that served nobody.

--- a/dillhold/src/call.rs
+++ b/dillhold/src/call.rs
@@ -435,6 +435,15 @@
         }
     }
 
+    /// A call's answer could not be brought to its caller: what stands at the exchange serves nobody.
+    pub fn answer_lost(&mut self, now: Nanos, id: u64) {
+        if let Some(stood) = self.table.get(&id).and_then(|c| c.stands) {
+            self.counters.up("errors answers lost with their caller");
+            self.say_exchange(stood.exchange, id, ToExchange::Release(16));
+            self.over_standing(now, id, Outcome::CalledOff);
+        }
+    }
+
     // -----------------------------------------------------------------------------------------------------
     // From exchanges
     // -----------------------------------------------------------------------------------------------------
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -38,8 +38,9 @@
 const ASK_AGAIN: Nanos = 200 * MS;
 /// After the signal to end, new connections and set-ups keep coming for so long.
 const STILL_COMING: Nanos = 700 * MS;
-/// After the signal to end, nothing is waited for longer than this.
-const LEAVE_AFTER: Nanos = 3_600 * MS;
+/// After the signal to end, nothing is waited for longer than the longest deadline of the classes, counted as
+/// the first of these where it is longer, and the second more.
+const LEAVE_AFTER: [Nanos; 2] = [3_000 * MS, 600 * MS];
 /// Turns are no further apart than this on account of the tick, whatever the settings say.
 const MOST_TICK: Nanos = 10 * MS;
 /// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
@@ -387,8 +388,12 @@
             Peer::Caller(caller) => {
                 self.callers -= 1;
                 self.calls.caller_lost(self.now, token);
+                let unfinished = caller.lost(self.now);
+                for id in unfinished.answers {
+                    self.calls.answer_lost(self.now, id);
+                }
                 // A release that crossed the close is said again on another connection.
-                for (id, cause) in caller.unheard(self.now) {
+                for (id, cause) in unfinished.releases {
                     self.say_caller(None, id, &ToCaller::Released(cause));
                 }
             }
@@ -653,7 +658,9 @@
         if !self.ending {
             self.ending = true;
             self.calls.deadlines.add(self.now + STILL_COMING, Due::Link(LinkDue::StopListening));
-            self.calls.deadlines.add(self.now + LEAVE_AFTER, Due::Link(LinkDue::Leave));
+            let longest = self.calls.told().module.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+            let leave = self.now + longest.min(LEAVE_AFTER[0]) + LEAVE_AFTER[1];
+            self.calls.deadlines.add(leave, Due::Link(LinkDue::Leave));
         }
     }
 }
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -57,7 +57,8 @@
         let out = self.outbox.buffer();
         match say {
             ToCaller::Answer(description) => {
-                binary::write(out, kind::ANSWER, id, &[(param::DESCRIPTION, description)]);
+                let parameters = [(param::DESCRIPTION, &description[..])];
+                self.outbox.mark((id, 0), |out| binary::write(out, kind::ANSWER, id, &parameters));
             }
             ToCaller::Refused(0) => binary::write(out, kind::RELEASE, id, &[(param::CAUSE, &[REFUSED])]),
             ToCaller::Refused(pause) => {
@@ -77,12 +78,24 @@
     }
 }
 
+/// What a lost connection leaves behind.
+#[derive(Debug)]
+pub struct Unfinished {
+    /// Calls whose answer has not left whole.
+    pub answers: Vec<u64>,
+    /// Releases that may not have arrived. A caller need not tell that it heard one, so those of long ago are
+    /// not among them.
+    pub releases: Vec<(u64, u8)>,
+}
+
 impl Caller {
-    /// The releases that may not have arrived, now that the connection is gone. A caller need not tell that it
-    /// heard one, so those of long ago are not said again.
-    pub fn unheard(self, now: Nanos) -> impl Iterator<Item = (u64, u8)> {
-        let lately = self.unheard.into_iter().filter(move |(at, ..)| now < at + UNHEARD_FOR);
-        lately.map(|(_, id, cause)| (id, cause))
+    /// The connection is gone.
+    pub fn lost(mut self, now: Nanos) -> Unfinished {
+        let lately = self.unheard.iter().filter(|(at, ..)| now < at + UNHEARD_FOR);
+        Unfinished {
+            releases: lately.map(|(_, id, cause)| (*id, *cause)).collect(),
+            answers: self.outbox.clear().into_iter().map(|(id, _)| id).collect(),
+        }
     }
 }
 
