Test the call table without sockets: waits, drains, late words, the module's last moment

Each of the failures found so far has its test here or in tests/program.rs; the guard that came before the module's own answer is the first.

--- /dev/null
+++ b/dillhold/tests/calls.rs
@@ -0,0 +1,176 @@
+//! The call table by itself: events in, commands out, no sockets.
+
+mod common;
+
+use common::{config, target, DESCRIPTION};
+use dillhold::call::*;
+use dillhold::directory::{read_config, read_settings, Directory};
+use pitchgw::interface::{Cause, Nanos, Outcome, Report};
+use serde_json::json;
+
+const MS: Nanos = 1_000_000;
+const START: Nanos = 1_796_136_000_000 * MS;
+
+/// A table that knows exchanges 1 and 2 by the handles 0 and 1.
+fn table() -> Calls {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let targets = [1, 2].map(|n| target(n, &format!("s-{n}"), address, "SERVING"));
+    let config = read_config(&config(address, address, &targets).to_string()).unwrap();
+    let directory = Directory::new(&config.settings);
+    let mut calls = Calls::new(read_settings(&config).unwrap(), directory).unwrap();
+    let news = calls.directory.take(config.known).unwrap();
+    calls.news(START, news);
+    calls.commands.clear();
+    calls
+}
+
+fn set_up(calls: &mut Calls, now: Nanos, link: CallerLink, id: u64, transit: bool) {
+    let (advised, wait) = (Some(2), 3_000 * MS);
+    let set_up = SetUp {
+        id,
+        class: b"view",
+        wait,
+        number: b"77",
+        destination: 1,
+        width: None,
+        advised,
+        transit,
+        again: false,
+        description: DESCRIPTION,
+    };
+    calls.from_caller(now, link, FromCaller::SetUp(set_up));
+    calls.settle(now);
+}
+
+/// Lets the deadlines up to a time come due and gives what was commanded, with the time.
+fn run(calls: &mut Calls, until: Nanos) -> Vec<(Nanos, Command)> {
+    let mut said: Vec<_> = calls.commands.drain(..).map(|c| (0, c)).collect();
+    while let Some(at) = calls.deadlines.first().filter(|at| *at <= until) {
+        for due in calls.deadlines.sweep(at) {
+            calls.due(at, due);
+            calls.settle(at);
+        }
+        said.extend(calls.commands.drain(..).map(|c| (at, c)));
+    }
+    said
+}
+
+fn sent_to(said: &[(Nanos, Command)]) -> Vec<(Nanos, u32)> {
+    let set_up = |c: &Command| match c {
+        Command::Exchange { to, say: ToExchange::SetUp { .. }, .. } => Some(*to),
+        _ => None,
+    };
+    said.iter().filter_map(|(at, c)| set_up(c).map(|to| (*at, to))).collect()
+}
+
+fn finals(said: &[(Nanos, Command)]) -> Vec<(Nanos, &ToCaller)> {
+    let mut found = Vec::new();
+    for (at, command) in said {
+        if let Command::Caller { say, .. } = command {
+            found.push((*at, say));
+        }
+    }
+    found
+}
+
+/// The table's guard once stood in for the module: it came before the module's own last moment.
+#[test]
+fn a_silent_exchange_ends_with_the_modules_own_answer_just_before_the_deadline() {
+    let mut calls = table();
+    set_up(&mut calls, START, 7, 1, true);
+    let said = run(&mut calls, START + 4_000 * MS);
+    assert_eq!(sent_to(&said).len(), 1);
+    let given_up =
+        |c: &Command| matches!(c, Command::Exchange { say: ToExchange::GiveUp { attempt: 0 }, .. });
+    assert_eq!(said.iter().filter(|(_, c)| given_up(c)).count(), 1);
+    assert_eq!(finals(&said), vec![(START + 2_990 * MS, &ToCaller::Failed)]);
+    assert_eq!(calls.counters.get("errors answers overdue"), 0);
+    assert_eq!(calls.open(), 0);
+}
+
+#[test]
+fn a_cut_attempt_is_followed_by_the_release_wait_and_a_call_in_transit_goes_nowhere_else() {
+    for transit in [false, true] {
+        let mut calls = table();
+        set_up(&mut calls, START, 7, 1, transit);
+        assert_eq!(sent_to(&run(&mut calls, START)), vec![(0, 0)]);
+        calls.exchange_lost(START + MS, 0, &[]);
+        calls.settle(START + MS);
+        let said = run(&mut calls, START + 1_000 * MS);
+        if transit {
+            assert!(sent_to(&said).is_empty() && finals(&said).len() == 1);
+        } else {
+            assert_eq!(
+                sent_to(&said),
+                vec![(START + 351 * MS, 1)],
+                "300 ms of the settings, 50 of the sockets"
+            );
+        }
+    }
+}
+
+#[test]
+fn an_attempt_that_never_left_needs_no_wait() {
+    let mut calls = table();
+    set_up(&mut calls, START, 7, 1, false);
+    run(&mut calls, START);
+    calls.exchange_lost(START + MS, 0, &[(1, 0)]);
+    calls.settle(START + MS);
+    // The module, told so, turns the call away at once.
+    assert_eq!(finals(&run(&mut calls, START + MS)), vec![(0, &ToCaller::Refused(0))]);
+}
+
+#[test]
+fn an_answer_that_cannot_reach_its_caller_is_released_at_the_exchange() {
+    let mut calls = table();
+    set_up(&mut calls, START, 7, 1, false);
+    calls.from_exchange(START, 0, FromExchange::Answered { id: 1, attempt: 0, description: b"d" });
+    run(&mut calls, START);
+    calls.answer_lost(START + MS, 1);
+    let released = Command::Exchange { to: 0, id: 1, say: ToExchange::Release(16) };
+    assert_eq!(calls.commands, vec![released]);
+}
+
+#[test]
+fn an_id_in_use_is_not_served_twice() {
+    let mut calls = table();
+    set_up(&mut calls, START, 7, 1, false);
+    run(&mut calls, START);
+    set_up(&mut calls, START, 7, 1, false);
+    assert_eq!(calls.commands, vec![], "its own connection gets one answer");
+    set_up(&mut calls, START, 8, 1, false);
+    assert_eq!(calls.commands, vec![Command::Caller { link: Some(8), id: 1, say: ToCaller::Failed }]);
+}
+
+#[test]
+fn a_drain_withholds_what_has_not_left_and_stops_what_would_come() {
+    let mut calls = table();
+    let address = "127.0.0.1:1".parse().unwrap();
+    let hosts = json!({"all": false, "targets": [target(1, "s-1", address, "DRAINING")]});
+    let answer = json!({"pos": 2, "entries": [{"pos": 2, "hosts": hosts}]});
+    let news = calls.directory.take(serde_json::from_value(answer).unwrap()).unwrap();
+    calls.news(START, news);
+    assert!(calls.commands.contains(&Command::Withhold(0)));
+    set_up(&mut calls, START, 7, 1, true);
+    assert!(sent_to(&run(&mut calls, START + 100 * MS)).is_empty());
+}
+
+#[test]
+fn late_words_on_an_earlier_attempt_change_nothing() {
+    let mut calls = table();
+    set_up(&mut calls, START, 7, 1, false);
+    run(&mut calls, START);
+    calls.exchange_lost(START, 0, &[]);
+    calls.settle(START);
+    let now = START + 400 * MS;
+    assert_eq!(sent_to(&run(&mut calls, now)).len(), 1);
+    let (outcome, cause, report) = (Outcome::Failed, Cause::Untold, Report::default());
+    for exchange in [0, 1] {
+        calls.from_exchange(now, exchange, FromExchange::Ended { id: 1, attempt: 0, outcome, cause, report });
+        calls.from_exchange(now, exchange, FromExchange::Answered { id: 1, attempt: 0, description: b"old" });
+    }
+    calls.settle(now);
+    assert!(finals(&run(&mut calls, now + 100 * MS)).is_empty());
+    calls.from_exchange(now, 1, FromExchange::Answered { id: 1, attempt: 1, description: b"new" });
+    assert_eq!(finals(&run(&mut calls, now)), vec![(0, &ToCaller::Answer(b"new".to_vec()))]);
+}
--- a/dillhold/tests/common/mod.rs
+++ b/dillhold/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! The program with everything it talks to, on loopback sockets.
+#![allow(dead_code)] // each test file uses its part
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -158,16 +159,9 @@
     command.env("EDGE_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
 }
 
-/// Starts the program, which is exchange 0, with the others on its list, and waits until it passes a test.
-pub fn start(name: &str, journal: SocketAddr, others: &[&TcpListener]) -> Program {
-    let listen = listener().local_addr().unwrap();
-    let targets = others.iter().enumerate().map(|(i, l)| {
-        let number = i + 1;
-        target(number, &format!("s-{number}"), l.local_addr().unwrap(), "SERVING")
-    });
-    let targets: Vec<Value> =
-        targets.chain([target(0, "s-0", "127.0.0.1:1".parse().unwrap(), "SERVING")]).collect();
-    let config = json!({
+/// A configuration for exchange 0 with these on its list.
+pub fn config(listen: SocketAddr, journal: SocketAddr, targets: &[Value]) -> Value {
+    json!({
         "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "journal": journal,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
         "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": true, "targets": targets}}]},
@@ -182,7 +176,19 @@
             "rules": {"answer-slack": 20_000_000, "cold": 15_000_000_000u64, "cold-from": 0.34,
                       "drain-grace": 500_000_000, "overload-factor": 2.0, "overload-for": 2_000_000_000}
         }
+    })
+}
+
+/// Starts the program, which is exchange 0, with the others on its list, and waits until it passes a test.
+pub fn start(name: &str, journal: SocketAddr, others: &[&TcpListener]) -> Program {
+    let listen = listener().local_addr().unwrap();
+    let targets = others.iter().enumerate().map(|(i, l)| {
+        let number = i + 1;
+        target(number, &format!("s-{number}"), l.local_addr().unwrap(), "SERVING")
     });
+    let targets: Vec<Value> =
+        targets.chain([target(0, "s-0", "127.0.0.1:1".parse().unwrap(), "SERVING")]).collect();
+    let config = config(listen, journal, &targets);
     let mut program = Program { child: launch(&config.to_string(), name), listen };
     let up = std::iter::repeat_with(|| {
         std::thread::sleep(Duration::from_millis(5));
