Bound what waits for slow readers so that all together fit in memory

Read over, not measured: 1 MiB for each of 341 callers is more than the 192 MB. A test floods a connection that never reads: it is not read from, and another caller is served.

--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -44,7 +44,8 @@
 /// Turns are no further apart than this on account of the tick, whatever the settings say.
 const MOST_TICK: Nanos = 10 * MS;
 /// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
-const SLOW: [usize; 2] = [64 * 1024, 1024 * 1024];
+/// All callers together stay within the memory that the program may have.
+const SLOW: [usize; 2] = [32 * 1024, 256 * 1024];
 /// Releases that wait for a caller connection at the most.
 const UNDELIVERED: usize = 20_000;
 
@@ -232,6 +233,7 @@
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(_) => {
+                    // Of descriptors run out, say: the next turn tries again, a tick later.
                     self.calls.counters.up("errors accepting");
                     return;
                 }
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -12,7 +12,7 @@
 use crate::session::{drain, Inbox, Outbox};
 
 /// Bytes that wait for an exchange at the most; past that its set-ups are not sent.
-const WAITING: usize = 256 * 1024;
+const WAITING: usize = 128 * 1024;
 /// Releases not yet heard that are kept; the oldest goes first.
 const UNHEARD_KEPT: usize = 4096;
 
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -160,6 +160,18 @@
     assert_eq!(caller.stream.read(&mut [0; 8]).unwrap(), 0, "and then the connection ends");
 }
 
+#[test]
+fn a_caller_that_does_not_read_is_not_read_from_and_others_are_served() {
+    let (program, mut caller, mut exchange, _, _l) = scene("slow");
+    let mut slow = program.caller();
+    slow.stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    let mut tests = Vec::new();
+    (0..4096).for_each(|id| dillhold::codec::binary::write(&mut tests, 52, id, &[(114, &[0])]));
+    let blocked = (0..2000).any(|_| slow.stream.write_all(&tests).is_err());
+    assert!(blocked, "the program took in all and holds the answers");
+    stand(&mut caller, &mut exchange, 20);
+}
+
 #[test]
 fn calls_of_before_a_restart_are_released_both_ways() {
     let (_program, mut caller, mut first, mut second, _l) = scene("before");
