Wake for deadlines in time after the tick's wait, and write what a failed write brings up

Read over: the wait for the next deadline was reckoned before the sleep to the next tick, so that timers came up to a tick late (turn() in net/mod.rs); and what followed from a write that failed was not written before something else woke the program.

--- a/dillhold/src/call.rs
+++ b/dillhold/src/call.rs
@@ -608,6 +608,11 @@
         }
     }
 
+    /// Whether nothing is left to be told to the module or to be carried out.
+    pub fn settled(&self) -> bool {
+        self.later.is_empty() && self.commands.is_empty()
+    }
+
     /// Tells the module what came of its last actions, until nothing more does.
     pub fn settle(&mut self, now: Nanos) {
         while let Some(event) = self.later.pop_front() {
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -181,12 +181,13 @@
     }
 
     fn turn(&mut self, events: &mut Vec<epoll::Event>) -> Result<(), String> {
+        events.clear();
+        std::thread::sleep(Duration::from_nanos(early(self.now, self.tick, self.clock.read())));
+        // Reckoned after that sleep, or a deadline within it would come late by as much again.
         let first = self.calls.deadlines.first();
         let wait = first.map_or(1_000 * MS, |at| at.saturating_sub(self.clock.read()));
         let timeout =
             Timespec { tv_sec: (wait / 1_000_000_000) as i64, tv_nsec: (wait % 1_000_000_000) as i64 };
-        events.clear();
-        std::thread::sleep(Duration::from_nanos(early(self.now, self.tick, self.clock.read())));
         match epoll::wait(&self.epoll, spare_capacity(events), Some(&timeout)) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
             Err(e) => return Err(format!("epoll: {e}")),
@@ -212,14 +213,17 @@
                 due => self.calls.due(self.now, due),
             }
         }
-        self.carry_out();
-        let writable: Vec<u64> = self.conns.iter().filter(|(_, c)| !c.connecting).map(|(t, _)| *t).collect();
-        writable.into_iter().for_each(|token| self.flush(token));
-        // What the writing has failed goes back to the calls in this turn.
-        self.carry_out();
-        let idle =
-            self.calls.open() == 0 && self.conns.keys().all(|t| self.pending(*t) == 0 || !self.caller(*t));
-        self.leave |= self.ending && self.listener.is_none() && idle;
+        // What the writing has failed is carried out and written in this turn too: nothing else may wake it.
+        loop {
+            self.carry_out();
+            let up = self.conns.iter().filter(|(_, c)| !c.connecting).map(|(token, _)| *token);
+            up.collect::<Vec<_>>().into_iter().for_each(|token| self.flush(token));
+            if self.calls.settled() {
+                break;
+            }
+        }
+        let written = || self.conns.keys().all(|t| self.pending(*t) == 0 || !self.caller(*t));
+        self.leave |= self.ending && self.listener.is_none() && self.calls.open() == 0 && written();
         Ok(())
     }
 
@@ -395,7 +399,8 @@
                 }
                 // A release that crossed the close is said again on another connection.
                 for (id, cause) in unfinished.releases {
-                    self.say_caller(None, id, &ToCaller::Released(cause));
+                    let say = ToCaller::Released(cause);
+                    self.calls.commands.push_back(Command::Caller { link: None, id, say });
                 }
             }
             Peer::Journal(_) => {
