--- a/dillhold/src/call.rs
+++ b/dillhold/src/call/mod.rs
@@ -5,7 +5,10 @@
 //! the attempts' cap, the wait after an attempt that may have left something behind, the destinations a call
 //! may go to, and exactly one final answer before the caller gives up.
 
-use std::collections::{HashMap, VecDeque};
+mod memory;
+mod words;
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use pitchgw::interface::*;
@@ -14,209 +17,16 @@
 use crate::clock::MS;
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
-use crate::directory::{Directory, News, Told};
-
-/// A connection from callers. Numbers are never used again.
-pub type CallerLink = u64;
+use crate::directory::{Bounds, Directory, News, Told};
+use memory::{Lately, Numbers};
+pub use words::*;
 
-/// Numbers dialled that keep their handle; past that the table starts anew (a handle is never used again).
-const NUMBERS_KEPT: usize = 100_000;
-/// Calls that stand at the most, and calls that are over and remembered.
-const STANDING_KEPT: usize = 20_000;
+/// A caller that would wait for longer than so many of its class's deadlines is not served.
+const MOST_DEADLINES: u64 = 2;
 /// How long after the journal said that a machine is gone its own releases may still come. A machine that
 /// stops after a drain may say nothing and leave its connections open; the journal tells up to 7 s late, and
 /// 8 s after their end its calls have to be released towards their callers.
 const LAST_WORDS: Nanos = 250 * MS;
-/// How long a call that is over is remembered, for what crosses its end on the way.
-const REMEMBERED: Nanos = 5_000 * MS;
-
-/// A set-up as a caller sends it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SetUp<'a> {
-    /// The call's id.
-    pub id: u64,
-    /// Name of the class.
-    pub class: &'a [u8],
-    /// How long the caller waits.
-    pub wait: Nanos,
-    /// The number called.
-    pub number: &'a [u8],
-    /// Number of the destination's exchange.
-    pub destination: u32,
-    /// Circuits seized on each group; `None`: as the class has it.
-    pub width: Option<u32>,
-    /// The advised tandem.
-    pub advised: Option<u32>,
-    /// Whether the call is in transit here.
-    pub transit: bool,
-    /// Whether it was cut and comes again.
-    pub again: bool,
-    /// The description, byte for byte.
-    pub description: &'a [u8],
-}
-
-/// What callers say.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum FromCaller<'a> {
-    /// A set-up.
-    SetUp(SetUp<'a>),
-    /// A set-up that lacks what it needs to be served.
-    Unservable(u64),
-    /// A set-up given up, or a call released.
-    Release {
-        /// The call.
-        id: u64,
-        /// Why.
-        cause: u8,
-    },
-}
-
-/// What exchanges say.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum FromExchange<'a> {
-    /// The call stands.
-    Answered {
-        /// The call.
-        id: u64,
-        /// Which attempt.
-        attempt: u32,
-        /// The exchange's description.
-        description: &'a [u8],
-    },
-    /// The attempt came to nothing.
-    Ended {
-        /// The call.
-        id: u64,
-        /// Which attempt.
-        attempt: u32,
-        /// How.
-        outcome: Outcome,
-        /// Why.
-        cause: Cause,
-        /// The group's state, where it is told.
-        report: Report,
-    },
-    /// A call that stood is over.
-    Released {
-        /// The call.
-        id: u64,
-        /// Why.
-        cause: u8,
-    },
-    /// The state of the group.
-    Group(Report),
-}
-
-/// How far an attempt had come when its connection failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Came {
-    /// Its set-up never left.
-    NeverSent,
-    /// Its set-up may have arrived.
-    Sent,
-}
-
-/// What is to be sent.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// To a caller.
-    Caller {
-        /// The connection meant; `None`: any.
-        link: Option<CallerLink>,
-        /// The call.
-        id: u64,
-        /// What to say.
-        say: ToCaller,
-    },
-    /// To an exchange.
-    Exchange {
-        /// Which.
-        to: ExchangeId,
-        /// The call.
-        id: u64,
-        /// What to say.
-        say: ToExchange,
-    },
-    /// What has not left yet for an exchange must not leave any more.
-    Withhold(ExchangeId),
-    /// The list of exchanges has changed.
-    Listed,
-    /// This machine is gone for good.
-    Ended(ExchangeId),
-}
-
-/// What callers are told.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ToCaller {
-    /// The call stands; the exchange's description.
-    Answer(Vec<u8>),
-    /// Refused; stay away for so long (0: nothing said).
-    Refused(Nanos),
-    /// Failed.
-    Failed,
-    /// A call that stood is over.
-    Released(u8),
-}
-
-/// What exchanges are told.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ToExchange {
-    /// Set the call up.
-    SetUp {
-        /// Number of the attempt.
-        attempt: u32,
-        /// How long it is waited for.
-        wait: Nanos,
-        /// Name of the class.
-        class: Vec<u8>,
-        /// The number called.
-        number: Vec<u8>,
-        /// The description.
-        description: Vec<u8>,
-    },
-    /// The attempt is given up.
-    GiveUp {
-        /// Number of the attempt.
-        attempt: u32,
-    },
-    /// The call that stands is released.
-    Release(u8),
-}
-
-/// What can be due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Due {
-    /// A timer of the module.
-    Module(u64),
-    /// An attempt's time is up.
-    Attempt(u64, u32),
-    /// A call's last moment for an answer.
-    Answer(u64, CallId),
-    /// A machine that is gone has had its last words.
-    Gone(ExchangeId),
-    /// The ids of calls that ended before are forgotten.
-    Forget,
-    /// Something of the connections'.
-    Link(LinkDue),
-}
-
-/// What can be due of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkDue {
-    /// A connection must be up by now.
-    Connect(u64),
-    /// An exchange is connected to again.
-    Redial(ExchangeId),
-    /// The journal is asked again.
-    Ask,
-    /// The journal must have answered on this connection.
-    Journal(u64),
-    /// After the signal to end: callers stop coming.
-    StopListening,
-    /// After the signal to end: whatever is still open is left.
-    Leave,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Out {
     exchange: ExchangeId,
@@ -229,6 +39,8 @@
     handle: CallId,
     /// Where the set-up came from.
     link: CallerLink,
+    /// Bytes of what came with it.
+    size: usize,
     class: usize,
     number: Vec<u8>,
     description: Vec<u8>,
@@ -244,6 +56,15 @@
     not_before: Nanos,
 }
 
+/// What a connection from callers bears.
+#[derive(Debug, Default)]
+struct Borne {
+    /// Set-ups that are owed an answer on it.
+    open: BTreeSet<u64>,
+    /// Calls that stand and were set up on it.
+    standing: usize,
+}
+
 /// The call table with the module.
 pub struct Calls {
     module: Controller,
@@ -253,13 +74,16 @@
     pub directory: Directory,
     table: HashMap<u64, Call>,
     ids: HashMap<CallId, u64>,
-    /// Calls that ended lately, in order.
-    over: VecDeque<(Nanos, u64)>,
+    /// What the connections from callers bear; those that bear nothing are not here.
+    borne: HashMap<CallerLink, Borne>,
+    over: Lately,
     forgetting: bool,
-    numbers: HashMap<Vec<u8>, NumberId>,
-    next_number: NumberId,
+    numbers: Numbers,
     next_call: CallId,
     open: usize,
+    /// Bytes of the set-ups that are owed an answer.
+    held: usize,
+    bounds: Bounds,
     later: VecDeque<Event>,
     /// All deadlines of the program.
     pub deadlines: Deadlines<Due>,
@@ -271,7 +95,8 @@
 
 impl Calls {
     /// An empty table.
-    pub fn new(told: Told, directory: Directory) -> Result<Calls, SettingsError> {
+    pub fn new(told: Told, bounds: Bounds, directory: Directory) -> Result<Calls, SettingsError> {
+        let longest = told.module.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         Ok(Calls {
             module: Controller::new(told.module.clone(), told.seed)?,
             set: told.module.clone(),
@@ -279,12 +104,15 @@
             directory,
             table: HashMap::new(),
             ids: HashMap::new(),
-            over: VecDeque::new(),
+            borne: HashMap::new(),
+            over: Lately::new(bounds.standing),
             forgetting: false,
-            numbers: HashMap::new(),
-            next_number: 0,
+            // A caller that dials again does so within the longest deadline.
+            numbers: Numbers::new(longest, bounds.standing),
             next_call: 0,
             open: 0,
+            held: 0,
+            bounds,
             later: VecDeque::new(),
             deadlines: Deadlines::default(),
             commands: VecDeque::new(),
@@ -292,6 +120,21 @@
         })
     }
 
+    /// Whether these settings can take the place of the present ones while calls are open and stand: they are of
+    /// the same exchange, in the same layout, with the same classes.
+    pub fn admits(&self, told: &Told) -> bool {
+        let same = |s: &Settings| (s.home, s.own_number, s.zone, s.shape);
+        same(&told.module) == same(&self.told.module) && told.classes == self.told.classes
+    }
+
+    /// Goes on with other settings, which [`Calls::admits`] has let through.
+    pub fn reconfigure(&mut self, told: Told, bounds: Bounds, settings: &serde_json::Value) {
+        self.module.reconfigure(told.module.clone());
+        self.directory.rezone(settings);
+        self.over.bound(bounds.standing);
+        (self.set, self.told, self.bounds) = (told.module.clone(), told, bounds);
+    }
+
     /// What the settings say to the connections.
     pub fn told(&self) -> &Told {
         &self.told
@@ -304,41 +147,90 @@
 
     /// Whether a set-up that came on this connection is owed an answer.
     pub fn open_on(&self, link: CallerLink) -> bool {
-        self.table.values().any(|c| c.owed && c.link == link)
+        self.borne.get(&link).is_some_and(|b| !b.open.is_empty())
+    }
+
+    /// Whether a call of this connection is open or stands.
+    pub fn bears(&self, link: CallerLink) -> bool {
+        self.borne.contains_key(&link)
+    }
+
+    fn borne(&mut self, link: CallerLink, change: impl FnOnce(&mut Borne)) {
+        let borne = self.borne.entry(link).or_default();
+        change(borne);
+        if borne.open.is_empty() && borne.standing == 0 {
+            self.borne.remove(&link);
+        }
     }
 
     // -----------------------------------------------------------------------------------------------------
     // From callers
     // -----------------------------------------------------------------------------------------------------
 
-    /// Takes in what a caller said on a connection.
-    pub fn from_caller(&mut self, now: Nanos, link: CallerLink, said: FromCaller<'_>) {
+    /// Takes in what a caller said on a connection. False: a set-up that is not one to be served.
+    pub fn from_caller(&mut self, now: Nanos, link: CallerLink, said: FromCaller<'_>) -> bool {
         match said {
             FromCaller::SetUp(set_up) => self.set_up(now, link, &set_up),
             FromCaller::Unservable(id) => {
-                self.counters.up("taken set-ups unservable");
-                self.say(Some(link), id, ToCaller::Failed);
+                self.counters.up("taken set-ups");
+                if !self.twice(now, link, id) {
+                    self.unservable(link, id);
+                }
+                false
+            }
+            FromCaller::Release { id, cause } => {
+                self.let_go(now, id, cause);
+                true
             }
-            FromCaller::Release { id, cause } => self.let_go(now, id, cause),
         }
     }
 
-    fn set_up(&mut self, now: Nanos, link: CallerLink, s: &SetUp<'_>) {
-        self.counters.up("taken set-ups");
-        if let Some(known) = self.table.get(&s.id) {
-            // Its own set-up is answered in time; a second answer on its connection would be one too many.
-            self.counters.up("taken set-ups twice");
-            if known.link != link {
-                self.say(Some(link), s.id, ToCaller::Failed);
+    fn unservable(&mut self, link: CallerLink, id: u64) {
+        self.counters.up("taken set-ups unservable");
+        self.say(Some(link), id, ToCaller::Failed);
+    }
+
+    /// Answers a set-up with the id of a call that is open or stands. On the call's own connection nobody can
+    /// tell which of the two an answer would be for: the call is ended, and that one answer serves both.
+    fn twice(&mut self, now: Nanos, link: CallerLink, id: u64) -> bool {
+        let Some(known) = self.table.get(&id).map(|c| (c.link == link, c.owed, c.stands)) else {
+            return false;
+        };
+        self.counters.up("taken set-ups twice");
+        self.say(Some(link), id, ToCaller::Failed);
+        match known {
+            (true, true, _) => self.hung_up(now, id, true),
+            (true, false, Some(stood)) => {
+                self.say_exchange(stood.exchange, id, ToExchange::Release(16));
+                self.over_standing(now, id, Outcome::CalledOff);
             }
-            return;
+            _ => {}
+        }
+        true
+    }
+
+    fn set_up(&mut self, now: Nanos, link: CallerLink, s: &SetUp<'_>) -> bool {
+        self.counters.up("taken set-ups");
+        if self.twice(now, link, s.id) {
+            return false;
         }
         let class = self.told.classes.iter().position(|c| c.as_bytes() == s.class);
-        let room = self.open < self.told.max_open && self.table.len() < self.told.max_open + STANDING_KEPT;
-        let (Some(class), true) = (class, room) else {
-            self.counters.up("taken set-ups unservable");
-            return self.say(Some(link), s.id, ToCaller::Failed);
+        let fits = |c: &usize| s.wait <= MOST_DEADLINES * self.set.classes[*c].deadline;
+        // A late word on a call that had this id would be taken for one on the new call.
+        let (Some(class), false) = (class.filter(fits), self.over.answered(s.id)) else {
+            self.unservable(link, s.id);
+            return false;
         };
+        let size = s.number.len() + s.description.len();
+        let standing = self.table.len() - self.open;
+        let room = self.open < self.told.max_open
+            && self.held + size <= self.bounds.open_bytes
+            && standing < self.bounds.standing;
+        if !room {
+            self.counters.up("answered refused for want of room");
+            self.say(Some(link), s.id, ToCaller::Refused(self.set.max_pause.unwrap_or(0)));
+            return true;
+        }
         let handle = self.next_call;
         self.next_call += 1;
         let deadline = now + s.wait;
@@ -348,6 +240,7 @@
             Call {
                 handle,
                 link,
+                size,
                 class,
                 number: s.number.to_vec(),
                 description: s.description.to_vec(),
@@ -361,11 +254,14 @@
                 not_before: now,
             },
         );
-        self.open += 1;
+        (self.open, self.held) = (self.open + 1, self.held + size);
+        self.borne(link, |b| {
+            b.open.insert(s.id);
+        });
         // The module answers two ticks before the caller gives up. A call that has no answer by half a tick
         // before is failed here, whatever keeps the module from it; no sooner, or it takes the module's place.
         self.deadlines.add(deadline.saturating_sub(self.set.tick / 2), Due::Answer(s.id, handle));
-        let dialled = Some(s.number).filter(|n| !n.is_empty()).map(|n| self.number(n));
+        let dialled = Some(s.number).filter(|n| !n.is_empty()).map(|n| self.numbers.handle(now, n));
         self.tell(
             now,
             Event::Call(NewCall {
@@ -380,18 +276,7 @@
                 cut: s.again,
             }),
         );
-    }
-
-    fn number(&mut self, number: &[u8]) -> NumberId {
-        if let Some(id) = self.numbers.get(number) {
-            return *id;
-        }
-        if self.numbers.len() >= NUMBERS_KEPT {
-            self.numbers.clear();
-        }
-        self.next_number += 1;
-        self.numbers.insert(number.to_vec(), self.next_number);
-        self.next_number
+        true
     }
 
     /// A caller gives its set-up up, or releases a call that stands.
@@ -399,7 +284,7 @@
         let Some(call) = self.table.get(&id) else {
             // A call of before this program started, which some exchange still holds. What only crosses the
             // end of a call here is known and goes nowhere.
-            if !self.over.iter().any(|(_, o)| *o == id) {
+            if !self.over.knows(id) {
                 self.counters.up("taken releases of unknown calls");
                 self.release_everywhere(id, cause);
             }
@@ -407,7 +292,7 @@
         };
         if call.owed {
             self.counters.up("taken set-ups given up");
-            self.hung_up(now, id);
+            self.hung_up(now, id, true);
         } else if let Some(stood) = call.stands {
             self.counters.up("taken releases from callers");
             self.say_exchange(stood.exchange, id, ToExchange::Release(cause));
@@ -420,20 +305,22 @@
         to.into_iter().for_each(|to| self.say_exchange(to, id, ToExchange::Release(cause)));
     }
 
-    fn hung_up(&mut self, now: Nanos, id: u64) {
+    /// The caller has left, or the answer is given without the module. `for_good`: the id may not come again.
+    fn hung_up(&mut self, now: Nanos, id: u64, for_good: bool) {
         if let Some(handle) = self.answered(id) {
             self.tell(now, Event::HungUp(handle));
             self.give_up(now, id, Outcome::CalledOff);
-            self.forget(now, id);
+            self.forget(now, id, for_good);
         }
     }
 
     /// A caller's connection has ended: its open set-ups are given up.
     pub fn caller_lost(&mut self, now: Nanos, link: CallerLink) {
-        let lost = self.table.iter().filter(|(_, c)| c.owed && c.link == link).map(|(id, _)| *id);
-        for id in lost.collect::<Vec<_>>() {
+        let lost = self.borne.get(&link).map(|b| b.open.clone());
+        for id in lost.unwrap_or_default() {
             self.counters.up("errors set-ups lost with their caller");
-            self.hung_up(now, id);
+            // A set-up that crossed the close may come again on another connection.
+            self.hung_up(now, id, false);
         }
     }
 
@@ -481,9 +368,12 @@
         let Some(out) = self.out_at(id, exchange, attempt) else {
             let stood = self.table.get(&id).and_then(|c| c.stands);
             if !stood.is_some_and(|s| s.exchange == exchange && s.attempt == attempt) {
-                // The answer crossed the end of its attempt: what stands there must not be left standing.
                 self.counters.up("taken answers too late");
-                self.say_exchange(exchange, id, ToExchange::Release(16));
+                // The answer crossed the end of its attempt: what stands there must not be left standing. One
+                // under an id that was never sent from here is dropped: nothing stands for it.
+                if self.table.contains_key(&id) || self.over.knows(id) {
+                    self.say_exchange(exchange, id, ToExchange::Release(16));
+                }
             }
             return;
         };
@@ -493,6 +383,7 @@
         (call.number, call.description) = (Vec::new(), Vec::new());
         let (handle, link) = (call.handle, call.link);
         self.answered(id);
+        self.borne(link, |b| b.standing += 1);
         self.counters.up("answered stands");
         self.say(Some(link), id, ToCaller::Answer(description.to_vec()));
         self.tell(now, Event::Stands { call: handle, attempt, took: now - out.sent });
@@ -502,9 +393,9 @@
         self.counters.up("taken releases from exchanges");
         let Some(call) = self.table.get(&id) else {
             // A call of before this program started: its caller still waits for the release.
-            if !self.over.iter().any(|(_, o)| *o == id) {
+            if !self.over.knows(id) {
                 self.counters.up("taken releases of unknown calls");
-                self.remember(now, id);
+                self.remember(now, id, true);
                 self.say(None, id, ToCaller::Released(cause));
             }
             return;
@@ -586,7 +477,7 @@
                     self.counters.up("errors answers overdue");
                     let link = self.table[&id].link;
                     self.say(Some(link), id, ToCaller::Failed);
-                    self.hung_up(now, id);
+                    self.hung_up(now, id, true);
                 }
             }
             Due::Gone(exchange) => {
@@ -600,8 +491,7 @@
             }
             Due::Forget => {
                 self.forgetting = false;
-                let recent = self.over.partition_point(|(at, _)| at + REMEMBERED <= now);
-                self.over.drain(..recent);
+                self.over.forget(now);
                 self.remind();
             }
             Due::Link(_) => {}
@@ -663,7 +553,7 @@
         self.say(Some(link), id, say);
         self.answered(id);
         self.give_up(now, id, Outcome::CalledOff);
-        self.forget(now, id);
+        self.forget(now, id, true);
     }
 
     fn send(&mut self, now: Nanos, handle: CallId, to: ExchangeId, timeout: Nanos) {
@@ -724,8 +614,13 @@
     fn answered(&mut self, id: u64) -> Option<CallId> {
         let call = self.table.get_mut(&id).filter(|c| c.owed)?;
         call.owed = false;
+        let (link, handle) = (call.link, call.handle);
         self.open -= 1;
-        Some(call.handle)
+        self.held -= call.size;
+        self.borne(link, |b| {
+            b.open.remove(&id);
+        });
+        Some(handle)
     }
 
     /// Gives up the attempt that is out, if there is one.
@@ -759,28 +654,28 @@
     fn over_standing(&mut self, now: Nanos, id: u64, outcome: Outcome) {
         let Some(stood) = self.table.get(&id).and_then(|c| c.stands) else { return };
         self.ended(now, id, stood, (outcome, Cause::Untold, Report::default()));
-        self.forget(now, id);
+        self.forget(now, id, true);
     }
 
-    fn forget(&mut self, now: Nanos, id: u64) {
+    fn forget(&mut self, now: Nanos, id: u64, for_good: bool) {
         if let Some(call) = self.table.remove(&id) {
             self.ids.remove(&call.handle);
-            self.remember(now, id);
+            if call.stands.is_some() {
+                self.borne(call.link, |b| b.standing -= 1);
+            }
+            self.remember(now, id, for_good);
         }
     }
 
-    fn remember(&mut self, now: Nanos, id: u64) {
-        if self.over.len() >= STANDING_KEPT {
-            self.over.pop_front();
-        }
-        self.over.push_back((now, id));
+    fn remember(&mut self, now: Nanos, id: u64, for_good: bool) {
+        self.over.remember(now, id, for_good);
         self.remind();
     }
 
     fn remind(&mut self) {
-        if let (Some((at, _)), false) = (self.over.front(), self.forgetting) {
+        if let (Some(due), false) = (self.over.due(), self.forgetting) {
             self.forgetting = true;
-            self.deadlines.add(at + REMEMBERED, Due::Forget);
+            self.deadlines.add(due, Due::Forget);
         }
     }
 }
--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -38,6 +38,44 @@
 pub struct Limits {
     /// File descriptors.
     pub sockets: usize,
+    /// Memory.
+    #[serde(default = "usual_memory")]
+    pub memory_mb: usize,
+}
+
+fn usual_memory() -> usize {
+    64
+}
+
+/// What follows from the limits: how much is kept at the most. Together it takes some five eighths of the
+/// memory; the program itself and what its allocator cannot give back have the rest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Connections from callers.
+    pub callers: usize,
+    /// Connections of all kinds.
+    pub connections: usize,
+    /// Bytes of the set-ups that are owed an answer: a quarter of the memory.
+    pub open_bytes: usize,
+    /// Bytes in the buffers of all connections: a quarter.
+    pub buffered: usize,
+    /// Calls that stand; also ids of calls that ended lately, releases without a connection, and numbers that
+    /// were dialled. Each may take one of these kilobytes: an eighth.
+    pub standing: usize,
+}
+
+impl Limits {
+    /// The bounds that keep within these limits.
+    pub fn bounds(&self) -> Bounds {
+        let (sockets, memory) = (self.sockets.max(64), self.memory_mb.max(16) * 1024 * 1024);
+        Bounds {
+            callers: sockets / 2,
+            connections: sockets - 32,
+            open_bytes: memory / 4,
+            buffered: memory / 4,
+            standing: (memory / 8 / 1024).min(20_000),
+        }
+    }
 }
 
 /// An answer of the journal service.
@@ -151,6 +189,11 @@
     pub ended: Vec<ExchangeId>,
 }
 
+fn zones(settings: &Value) -> Vec<String> {
+    let zones = settings["dcs"].as_array().into_iter().flatten();
+    zones.filter_map(|z| z.as_str().map(String::from)).collect()
+}
+
 /// The list of exchanges as the journal tells it.
 #[derive(Debug)]
 pub struct Directory {
@@ -165,14 +208,12 @@
 impl Directory {
     /// An empty list.
     pub fn new(settings: &Value) -> Directory {
-        let zones = settings["dcs"].as_array().into_iter().flatten();
-        Directory {
-            zones: zones.filter_map(|z| z.as_str().map(String::from)).collect(),
-            machines: BTreeMap::new(),
-            next: 0,
-            position: 0,
-            listed: false,
-        }
+        Directory { zones: zones(settings), machines: BTreeMap::new(), next: 0, position: 0, listed: false }
+    }
+
+    /// Takes the names of the zones from other settings.
+    pub fn rezone(&mut self, settings: &Value) {
+        self.zones = zones(settings);
     }
 
     /// A machine by the module's handle.
--- a/dillhold/src/main.rs
+++ b/dillhold/src/main.rs
@@ -7,8 +7,7 @@
 
 fn run() -> Result<(), String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("configuration: {path}: {e}"))?;
-    Driver::start(&text)?.run()
+    Driver::start(path)?.run()
 }
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/dillhold/src/net/callers.rs
@@ -0,0 +1,162 @@
+//! Connections from callers: who is let in, who has to make room, and by which of them a call's end is told.
+
+use std::io;
+
+use pitchgw::interface::Nanos;
+
+use super::conn::Peer;
+use super::Driver;
+use crate::call::{CallerLink, Due, LinkDue, ToCaller};
+use crate::clock::MS;
+use crate::session::caller::Caller;
+
+/// Connections taken in within one turn; the others wait for the next.
+const ACCEPTS: usize = 128;
+/// A connection that was told nothing within this time is closed, unless a set-up is open on it: whoever sends
+/// nothing, or nothing that can be answered, is owed a word or a close within 3 s.
+const NO_WORD: Nanos = 2_500 * MS;
+/// A message that does not become whole for so long never will.
+const HALF: Nanos = 2_500 * MS;
+/// A connection on which no call is open or stands is closed after so long. Callers close such connections
+/// after 4 s themselves; those that never do would take all descriptors in time.
+const IDLE: Nanos = 5_000 * MS;
+/// Time between two looks at a connection.
+const LOOK: Nanos = 500 * MS;
+/// A release waits so long for a connection that is known to have a caller at its other end. Towards the caller
+/// it is due within a second.
+const FOR_A_CALLER: Nanos = 400 * MS;
+
+/// The books on connections from callers.
+#[derive(Default)]
+pub struct Callers {
+    /// How many there are.
+    pub count: usize,
+    /// Releases that wait for a connection: since when, the call and the cause.
+    undelivered: Vec<(Nanos, u64, u8)>,
+}
+
+impl Driver {
+    pub(super) fn accept(&mut self) {
+        for _ in 0..ACCEPTS {
+            let Some(listener) = &self.listener else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => {
+                    // Of descriptors run out, say: the next turn tries again, a tick later.
+                    self.calls.counters.up("errors accepting");
+                    return;
+                }
+            };
+            let full =
+                self.callers.count >= self.bounds.callers || self.conns.len() >= self.bounds.connections;
+            if full && !self.make_room() {
+                self.calls.counters.up("errors callers over the limit");
+                continue;
+            }
+            if let Some(token) = self.add(stream.into(), Peer::Caller(Caller::default()), false) {
+                self.callers.count += 1;
+                self.calls.counters.up("taken caller connections");
+                self.calls.deadlines.add(self.now + NO_WORD, Due::Link(LinkDue::Caller(token)));
+                self.deliver(None);
+            }
+        }
+    }
+
+    /// Closes the connection that is of least use: the oldest of those never told that a call stands, else the
+    /// one that has been quiet for longest. One that bears a call, or has an answer still to be written, stays:
+    /// closing it once cost callers their answers, and their releases went to strangers.
+    fn make_room(&mut self) -> bool {
+        let free = |token: &u64| !self.calls.bears(*token) && self.pending(*token) == 0;
+        let callers = self.conns.iter().filter_map(|(token, conn)| match &conn.peer {
+            Peer::Caller(caller) => {
+                Some((caller.proven, if caller.proven { caller.heard } else { 0 }, *token))
+            }
+            _ => None,
+        });
+        let least = callers.filter(|(.., token)| free(token)).min();
+        if let Some((.., token)) = least {
+            self.calls.counters.up("closed callers to make room");
+            self.close(token);
+        }
+        least.is_some()
+    }
+
+    /// Looks at a connection from callers; one that is of no use is closed.
+    pub(super) fn caller_due(&mut self, token: u64) {
+        let Some(conn) = self.conns.get(&token) else { return };
+        let Peer::Caller(caller) = &conn.peer else { return };
+        let since = |at: Nanos| self.now.saturating_sub(at);
+        let half = !caller.inbox.rest().is_empty() && since(conn.read) >= HALF;
+        let no_word = !caller.answered && !self.calls.open_on(token);
+        let idle = !self.calls.bears(token) && since(caller.heard.max(conn.opened)) >= IDLE;
+        if half || no_word || idle {
+            self.calls.counters.up(match (half, no_word) {
+                (true, _) => "closed callers with half a message",
+                (_, true) => "closed callers without a word",
+                _ => "closed callers idle",
+            });
+            return self.close(token);
+        }
+        self.calls.deadlines.add(self.now + LOOK, Due::Link(LinkDue::Caller(token)));
+    }
+
+    pub(super) fn say_caller(&mut self, link: Option<CallerLink>, id: u64, say: &ToCaller) {
+        let own = link.filter(|token| self.caller(*token));
+        let token = match say {
+            // What ends a call that stands may go to any caller, by the connection of its set-up first. To be
+            // known as a caller's a connection must have been told of a call that stands: whoever only tests
+            // or says nothing will hardly listen.
+            ToCaller::Released(_) => {
+                let proven = |token: &u64| self.writable(*token, true);
+                own.filter(|t| self.writable(*t, false))
+                    .or_else(|| self.conns.keys().rev().copied().find(proven))
+            }
+            _ => own,
+        };
+        match (token, say) {
+            (Some(token), say) => self.write_caller(token, id, say),
+            (None, ToCaller::Released(cause)) if self.callers.undelivered.len() < self.bounds.standing => {
+                self.callers.undelivered.push((self.now, id, *cause));
+                self.calls.deadlines.add(self.now + FOR_A_CALLER, Due::Link(LinkDue::Releases));
+            }
+            _ => self.calls.counters.up("errors answers without a connection"),
+        }
+    }
+
+    /// Whether a caller's connection can still be written to, and is known to be one if that is asked for.
+    fn writable(&self, token: u64, proven: bool) -> bool {
+        let conn = self.conns.get(&token).filter(|c| !c.ended);
+        conn.is_some_and(|c| matches!(&c.peer, Peer::Caller(caller) if caller.proven || !proven))
+    }
+
+    fn write_caller(&mut self, token: u64, id: u64, say: &ToCaller) {
+        let Some(Peer::Caller(caller)) = self.conns.get_mut(&token).map(|c| &mut c.peer) else { return };
+        let first = !caller.proven;
+        caller.say(self.now, id, say);
+        self.touched.insert(token);
+        if first && matches!(say, ToCaller::Answer(_)) {
+            self.deliver(Some(token));
+        }
+    }
+
+    /// Says the releases that waited for a connection: on this one, which is known to have a caller at its
+    /// other end; those that have waited for long on any.
+    pub(super) fn deliver(&mut self, proven: Option<u64>) {
+        if self.callers.undelivered.is_empty() {
+            return;
+        }
+        let any = || self.conns.keys().rev().copied().find(|token| self.writable(*token, false));
+        let Some(token) = proven.or_else(any) else { return };
+        let until = self.now;
+        let waits = |since: Nanos| proven.is_none() && until < since + FOR_A_CALLER;
+        let waiting = std::mem::take(&mut self.callers.undelivered);
+        for (since, id, cause) in waiting {
+            if waits(since) {
+                self.callers.undelivered.push((since, id, cause));
+            } else {
+                self.write_caller(token, id, &ToCaller::Released(cause));
+            }
+        }
+    }
+}
--- a/dillhold/src/net/conn.rs
+++ b/dillhold/src/net/conn.rs
@@ -5,7 +5,7 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 
-use pitchgw::interface::ExchangeId;
+use pitchgw::interface::{ExchangeId, Nanos};
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::io::Errno;
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
@@ -33,18 +33,31 @@
     pub refused: bool,
     /// The other side writes no more.
     pub ended: bool,
+    /// When it was opened, and when bytes last came.
+    pub opened: Nanos,
+    pub read: Nanos,
+    /// Bytes that its buffers take, as last counted.
+    pub held: usize,
     watched: EventFlags,
 }
 
 impl Conn {
     /// Takes a socket and watches it.
-    pub fn new(epoll: &OwnedFd, fd: OwnedFd, token: u64, peer: Peer, connecting: bool) -> io::Result<Conn> {
+    pub fn new(
+        epoll: &OwnedFd,
+        fd: OwnedFd,
+        token: u64,
+        peer: Peer,
+        connecting: bool,
+        now: Nanos,
+    ) -> io::Result<Conn> {
         let stream = TcpStream::from(fd);
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let watched = if connecting { EventFlags::OUT } else { EventFlags::IN };
         epoll::add(epoll, &stream, EventData::new_u64(token), watched)?;
-        Ok(Conn { stream, peer, connecting, refused: false, ended: false, watched })
+        let (refused, ended) = (false, false);
+        Ok(Conn { stream, peer, connecting, refused, ended, opened: now, read: now, held: 0, watched })
     }
 
     /// Whether the connection came up.
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -1,41 +1,39 @@
 //! The driver: sockets, epoll and nothing else. It reads into the sessions' buffers, writes what they hold, and
 //! keeps connections up; what is said and when is settled elsewhere.
 
+mod callers;
 mod conn;
+mod exchanges;
+mod journal;
 
-use std::collections::btree_map::{BTreeMap, Entry};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
 
-use pitchgw::interface::{ExchangeId, Nanos, Standing};
+use pitchgw::interface::{ExchangeId, Nanos};
 use rustix::buffer::spare_capacity;
 use rustix::event::{epoll, Timespec};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 
-use crate::call::{CallerLink, Calls, Came, Command, Due, LinkDue, ToCaller, ToExchange};
+use crate::call::{Calls, Came, Command, Due, LinkDue, ToCaller};
 use crate::clock::{Clock, MS};
-use crate::directory::{self, Directory};
-use crate::session::caller::Caller;
-use crate::session::exchange::Exchange;
-use crate::session::journal::{Journal, HOLD_MS};
+use crate::directory::{self, Bounds, Config, Directory, Told};
+use callers::Callers;
 use conn::{Conn, Peer};
+use exchanges::Link;
+use journal::Feed;
 
 /// Tokens of what is no connection; those of connections come after.
 const LISTENER: u64 = 0;
 const SIGNAL_END: u64 = 1;
 const SIGNAL_PRINT: u64 = 2;
+const SIGNAL_RELOAD: u64 = 3;
 const FIRST_CONN: u64 = 16;
 
-/// Pause before an exchange is connected to again after it could not be reached.
-const REDIAL: Nanos = 250 * MS;
-/// So many refused connections in a row tell that the process has ended. One alone could be a restart of the
-/// listener; the calls that stand there are worth the wait.
-const REFUSALS: u32 = 3;
-/// Pause before the journal is asked again after a bad answer or a lost connection.
-const ASK_AGAIN: Nanos = 200 * MS;
 /// After the signal to end, new connections and set-ups keep coming for so long.
 const STILL_COMING: Nanos = 700 * MS;
 /// After the signal to end, nothing is waited for longer than the longest deadline of the classes, counted as
@@ -46,22 +44,8 @@
 /// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
 /// All callers together stay within the memory that the program may have.
 const SLOW: [usize; 2] = [32 * 1024, 256 * 1024];
-/// Releases that wait for a caller connection at the most.
-const UNDELIVERED: usize = 20_000;
-
-/// The link to an exchange, across its connections.
-struct Link {
-    session: Exchange,
-    address: SocketAddr,
-    conn: Option<u64>,
-    /// Refusals in a row, and when the last was counted.
-    refused: u32,
-    refused_at: Nanos,
-    /// When a connection last came up.
-    up_at: Nanos,
-    /// A redial is among the deadlines.
-    redial: bool,
-}
+/// Reads of one connection in a turn, by whether a caller is at its other end. Epoll tells again of what is left.
+const READS: [usize; 2] = [16, 4];
 
 /// How long it is too early for the next turn. The module is promised that events come no more often than once
 /// a tick, and its round trips are those of a controller that looks once a tick. Measured against turns as
@@ -74,23 +58,24 @@
 pub struct Driver {
     epoll: std::os::fd::OwnedFd,
     listener: Option<TcpListener>,
-    signals: [UnixStream; 2],
+    listen: SocketAddr,
+    signals: [UnixStream; 3],
+    /// Where the configuration is read from, again on SIGHUP.
+    path: String,
     clock: Clock,
     now: Nanos,
     tick: Nanos,
     calls: Calls,
+    bounds: Bounds,
     conns: BTreeMap<u64, Conn>,
     next_conn: u64,
-    callers: usize,
-    most_callers: usize,
-    most_conns: usize,
+    /// Connections that may have something to write, or are to be watched for something else.
+    touched: BTreeSet<u64>,
+    /// Bytes that the buffers of all connections take.
+    held: usize,
+    callers: Callers,
     links: BTreeMap<ExchangeId, Link>,
-    journal: SocketAddr,
-    journal_conn: Option<u64>,
-    /// When the journal was last asked, and whether its answer is still to come.
-    asked: Nanos,
-    asking: bool,
-    undelivered: Vec<(u64, u8)>,
+    feed: Feed,
     ending: bool,
     leave: bool,
 }
@@ -99,60 +84,73 @@
     move |e| format!("{what}: {e}")
 }
 
+fn read_config(path: &str) -> Result<(Config, Told), String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("configuration: {path}: {e}"))?;
+    let config = directory::read_config(&text)?;
+    let told = directory::read_settings(&config)?;
+    Ok((config, told))
+}
+
+fn listen(epoll: &std::os::fd::OwnedFd, at: SocketAddr) -> Result<TcpListener, String> {
+    let listener = TcpListener::bind(at).map_err(text("listen"))?;
+    listener.set_nonblocking(true).map_err(text("listen"))?;
+    watch(epoll, listener.as_fd(), LISTENER)?;
+    Ok(listener)
+}
+
+fn watch(epoll: &std::os::fd::OwnedFd, fd: std::os::fd::BorrowedFd<'_>, token: u64) -> Result<(), String> {
+    let data = epoll::EventData::new_u64(token);
+    epoll::add(epoll, fd, data, epoll::EventFlags::IN).map_err(|e| format!("epoll: {e}"))
+}
+
 impl Driver {
     /// Reads the configuration and opens the listener.
-    pub fn start(config: &str) -> Result<Driver, String> {
-        let config = directory::read_config(config)?;
-        let told = directory::read_settings(&config)?;
+    pub fn start(path: String) -> Result<Driver, String> {
+        let (config, told) = read_config(&path)?;
         let tick = told.module.tick;
+        let bounds = config.limits.bounds();
         let list = Directory::new(&config.settings);
-        let mut calls = Calls::new(told, list).map_err(|e| format!("configuration: settings: {e}"))?;
+        let calls = Calls::new(told, bounds, list);
+        let mut calls = calls.map_err(|e| format!("configuration: settings: {e}"))?;
         let mut clock = Clock::start();
         let now = clock.read();
         let known = calls.directory.take(config.known);
         calls.news(now, known.unwrap_or_else(|missing| missing.0));
 
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(|e| format!("epoll: {e}"))?;
-        let listener = TcpListener::bind(config.listen).map_err(text("listen"))?;
-        listener.set_nonblocking(true).map_err(text("listen"))?;
-        let watch = |fd: std::os::fd::BorrowedFd<'_>, token| {
-            let data = epoll::EventData::new_u64(token);
-            epoll::add(&epoll, fd, data, epoll::EventFlags::IN).map_err(|e| format!("epoll: {e}"))
-        };
-        use std::os::fd::AsFd;
-        watch(listener.as_fd(), LISTENER)?;
+        let listener = listen(&epoll, config.listen)?;
         let mut ends = Vec::new();
-        for (token, signals) in [(SIGNAL_END, &[SIGTERM, SIGINT][..]), (SIGNAL_PRINT, &[SIGUSR1])] {
+        let signals =
+            [(SIGNAL_END, &[SIGTERM, SIGINT][..]), (SIGNAL_PRINT, &[SIGUSR1]), (SIGNAL_RELOAD, &[SIGHUP])];
+        for (token, signals) in signals {
             let (ours, theirs) = UnixStream::pair().map_err(text("signals"))?;
             ours.set_nonblocking(true).map_err(text("signals"))?;
             for signal in signals {
                 let end = theirs.try_clone().map_err(text("signals"))?;
                 signal_hook::low_level::pipe::register(*signal, end).map_err(text("signals"))?;
             }
-            watch(ours.as_fd(), token)?;
+            watch(&epoll, ours.as_fd(), token)?;
             ends.push(ours);
         }
         let signals = ends.try_into().map_err(|_| "signals")?;
-        let sockets = config.limits.sockets.max(64);
         let mut driver = Driver {
             epoll,
             listener: Some(listener),
+            listen: config.listen,
             signals,
+            path,
             clock,
             now,
             tick,
             calls,
+            bounds,
             conns: BTreeMap::new(),
             next_conn: FIRST_CONN,
-            callers: 0,
-            most_callers: sockets / 2,
-            most_conns: sockets - 32,
+            touched: BTreeSet::new(),
+            held: 0,
+            callers: Callers::default(),
             links: BTreeMap::new(),
-            journal: config.journal,
-            journal_conn: None,
-            asked: 0,
-            asking: false,
-            undelivered: Vec::new(),
+            feed: Feed::new(config.journal),
             ending: false,
             leave: false,
         };
@@ -204,6 +202,12 @@
                     conn::swallow(&self.signals[1]);
                     self.print();
                 }
+                SIGNAL_RELOAD => {
+                    conn::swallow(&self.signals[2]);
+                    if let Err(text) = self.reload() {
+                        eprintln!("dillhold: not applied: {}", text.replace(char::is_control, " "));
+                    }
+                }
                 token => self.ready(token, flags),
             }
         }
@@ -216,8 +220,9 @@
         // What the writing has failed is carried out and written in this turn too: nothing else may wake it.
         loop {
             self.carry_out();
-            let up = self.conns.iter().filter(|(_, c)| !c.connecting).map(|(token, _)| *token);
-            up.collect::<Vec<_>>().into_iter().for_each(|token| self.flush(token));
+            while let Some(token) = self.touched.pop_first() {
+                self.flush(token);
+            }
             if self.calls.settled() {
                 break;
             }
@@ -231,42 +236,9 @@
     // Connections
     // -----------------------------------------------------------------------------------------------------
 
-    fn accept(&mut self) {
-        while let Some(listener) = &self.listener {
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(_) => {
-                    // Of descriptors run out, say: the next turn tries again, a tick later.
-                    self.calls.counters.up("errors accepting");
-                    return;
-                }
-            };
-            if self.callers >= self.most_callers || self.conns.len() >= self.most_conns {
-                // The oldest connection that no set-up is open on makes room.
-                let idle = |t: &&u64| self.caller(**t) && !self.calls.open_on(**t);
-                match self.conns.keys().find(idle).copied() {
-                    Some(token) => self.close(token),
-                    None => {
-                        self.calls.counters.up("errors callers over the limit");
-                        continue;
-                    }
-                }
-            }
-            if let Some(token) = self.add(stream.into(), Peer::Caller(Caller::default()), false) {
-                self.callers += 1;
-                self.calls.counters.up("taken caller connections");
-                let waiting = std::mem::take(&mut self.undelivered);
-                for (id, cause) in waiting {
-                    self.say_caller(Some(token), id, &ToCaller::Released(cause));
-                }
-            }
-        }
-    }
-
     fn add(&mut self, stream: std::os::fd::OwnedFd, peer: Peer, connecting: bool) -> Option<u64> {
         let token = self.next_conn;
-        match Conn::new(&self.epoll, stream, token, peer, connecting) {
+        match Conn::new(&self.epoll, stream, token, peer, connecting, self.now) {
             Ok(conn) => {
                 self.next_conn += 1;
                 self.conns.insert(token, conn);
@@ -281,7 +253,7 @@
 
     /// Starts a connection. The error tells whether it was refused at once.
     fn dial(&mut self, address: SocketAddr, peer: Peer) -> Result<u64, bool> {
-        if self.conns.len() >= self.most_conns {
+        if self.conns.len() >= self.bounds.connections {
             self.calls.counters.up("errors connections over the limit");
             return Err(false);
         }
@@ -316,6 +288,7 @@
         if conn.ended && flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR) {
             return self.close(token); // nobody reads there any more
         }
+        self.touched.insert(token);
         if flags.intersects(epoll::EventFlags::IN | epoll::EventFlags::HUP | epoll::EventFlags::ERR) {
             self.read(token);
         }
@@ -326,13 +299,13 @@
             if let Some(link) = self.links.get_mut(id) {
                 (link.refused, link.up_at) = (0, self.now);
             }
+            self.touched.insert(token);
             self.calls.counters.up("sent exchange connections");
         }
     }
 
     fn read(&mut self, token: u64) {
-        // A bounded number of reads: epoll tells again of what is left.
-        for _ in 0..16 {
+        for _ in 0..READS[usize::from(self.caller(token))] {
             let Some(conn) = self.conns.get_mut(&token).filter(|c| !c.ended) else { return };
             let inbox = match &mut conn.peer {
                 Peer::Caller(caller) => &mut caller.inbox,
@@ -349,9 +322,12 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(_) => return self.lost(token, false),
             }
-            // A panic costs the connection that it came from.
+            conn.read = self.now;
+            // A panic costs the connection that it came from. What was answered before goes out first.
             if !catch_unwind(AssertUnwindSafe(|| self.feed(token))).unwrap_or(false) {
                 self.calls.counters.up("errors unreadable");
+                self.carry_out();
+                self.flush(token);
                 return self.lost(token, false);
             }
         }
@@ -388,10 +364,10 @@
 
     /// A connection is gone; `unmade`: it never came up.
     fn lost(&mut self, token: u64, unmade: bool) {
-        let Some(conn) = self.conns.remove(&token) else { return };
+        let Some(conn) = self.forget(token) else { return };
         match conn.peer {
             Peer::Caller(caller) => {
-                self.callers -= 1;
+                self.callers.count -= 1;
                 self.calls.caller_lost(self.now, token);
                 let unfinished = caller.lost(self.now);
                 for id in unfinished.answers {
@@ -405,8 +381,7 @@
             }
             Peer::Journal(_) => {
                 self.calls.counters.up("errors journal connections lost");
-                (self.journal_conn, self.asking) = (None, false);
-                self.calls.deadlines.add(self.now + ASK_AGAIN, Due::Link(LinkDue::Ask));
+                self.journal_lost();
             }
             Peer::Exchange(id) => {
                 self.calls.counters.up(match unmade {
@@ -422,13 +397,21 @@
         self.lost(token, false);
     }
 
+    /// Takes a connection out of the books.
+    fn forget(&mut self, token: u64) -> Option<Conn> {
+        let conn = self.conns.remove(&token)?;
+        self.held -= conn.held;
+        Some(conn)
+    }
+
     fn flush(&mut self, token: u64) {
-        let Some(conn) = self.conns.get_mut(&token) else { return };
-        let outbox = match &mut conn.peer {
-            Peer::Caller(caller) => &mut caller.outbox,
-            Peer::Journal(journal) => &mut journal.outbox,
+        let Some(conn) = self.conns.get_mut(&token).filter(|c| !c.connecting) else { return };
+        let caller = matches!(conn.peer, Peer::Caller(_));
+        let (inbox, outbox) = match &mut conn.peer {
+            Peer::Caller(caller) => (&caller.inbox, &mut caller.outbox),
+            Peer::Journal(journal) => (&journal.inbox, &mut journal.outbox),
             Peer::Exchange(id) => match self.links.get_mut(id) {
-                Some(link) => &mut link.session.outbox,
+                Some(link) => (&link.session.inbox, &mut link.session.outbox),
                 None => return self.close(token),
             },
         };
@@ -441,7 +424,15 @@
             }
         }
         let left = outbox.pending().len();
-        let caller = matches!(conn.peer, Peer::Caller(_));
+        let held = inbox.held() + outbox.held();
+        self.held = self.held - conn.held + held;
+        conn.held = held;
+        // When memory is short, a caller that holds more than its share of it makes room.
+        if caller && self.held > self.bounds.buffered && held > self.bounds.buffered / self.bounds.connections
+        {
+            self.calls.counters.up("errors callers over the memory");
+            return self.close(token);
+        }
         let reads = !(conn.ended || caller && left > SLOW[0]);
         if conn.watch(&self.epoll, token, reads, left > 0).is_err() || left > SLOW[1] {
             self.calls.counters.up("errors slow readers");
@@ -452,121 +443,6 @@
         }
     }
 
-    // -----------------------------------------------------------------------------------------------------
-    // Exchanges
-    // -----------------------------------------------------------------------------------------------------
-
-    /// Brings the links in step with the list.
-    fn listed(&mut self) {
-        let home = self.calls.told().module.home;
-        let wanted = self.calls.directory.machines().filter(|(_, m)| Some(m.number) != home);
-        let wanted: Vec<_> = wanted.map(|(id, m)| (id, m.address, m.standing)).collect();
-        for (id, address, standing) in wanted {
-            let link = self.links.get(&id);
-            if standing == Standing::Gone {
-                continue;
-            }
-            if link.is_some_and(|l| l.address != address) {
-                self.drop_link(id);
-            }
-            if let Entry::Vacant(place) = self.links.entry(id) {
-                let session = Exchange::default();
-                place.insert(Link {
-                    session,
-                    address,
-                    conn: None,
-                    refused: 0,
-                    refused_at: 0,
-                    up_at: 0,
-                    redial: false,
-                });
-                self.connect(id);
-            }
-        }
-    }
-
-    fn drop_link(&mut self, id: ExchangeId) {
-        if let Some(link) = self.links.remove(&id) {
-            link.conn.and_then(|token| self.conns.remove(&token));
-            self.calls.exchange_lost(self.now, id, &[]);
-        }
-    }
-
-    fn connect(&mut self, id: ExchangeId) {
-        let Some(link) = self.links.get(&id).filter(|l| l.conn.is_none()) else { return };
-        let dialled = self.dial(link.address, Peer::Exchange(id));
-        match (dialled, self.links.get_mut(&id)) {
-            (Ok(token), Some(link)) => link.conn = Some(token),
-            (failed, _) => self.link_lost(id, true, failed == Err(true)),
-        }
-    }
-
-    fn link_lost(&mut self, id: ExchangeId, unmade: bool, refused: bool) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        link.conn = None;
-        let unsent = link.session.lost();
-        if !refused {
-            link.refused = 0;
-        } else if self.now >= link.refused_at + REDIAL {
-            // Set-ups dial too: refusals of one moment count once.
-            (link.refused, link.refused_at) = (link.refused + 1, self.now);
-        }
-        if !link.redial {
-            // A connection that was up is made again at once, for what the exchange has to say meanwhile; one
-            // that ended as soon as it was up is not, or the two would keep each other busy.
-            link.redial = true;
-            let pause = if unmade || self.now < link.up_at + REDIAL { REDIAL } else { 0 };
-            self.calls.deadlines.add(self.now + pause, Due::Link(LinkDue::Redial(id)));
-        }
-        let ended = link.refused >= REFUSALS;
-        self.calls.exchange_lost(self.now, id, &unsent);
-        if ended {
-            self.calls.exchange_ended(self.now, id, Nanos::MAX);
-        }
-    }
-
-    // -----------------------------------------------------------------------------------------------------
-    // Journal
-    // -----------------------------------------------------------------------------------------------------
-
-    fn ask_journal(&mut self) {
-        if self.asking {
-            return; // a second question would never be caught up with
-        }
-        if self.journal_conn.is_none() {
-            self.journal_conn = self.dial(self.journal, Peer::Journal(Journal::default())).ok();
-        }
-        let (after, host, now) = (self.calls.directory.position, self.journal, self.now);
-        let conn = self.journal_conn.and_then(|token| self.conns.get_mut(&token));
-        let Some((token, Peer::Journal(journal))) = self.journal_conn.zip(conn.map(|c| &mut c.peer)) else {
-            return self.calls.deadlines.add(now + ASK_AGAIN, Due::Link(LinkDue::Ask));
-        };
-        journal.ask(after, host);
-        (self.asked, self.asking) = (now, true);
-        let until = now + (HOLD_MS + 1_000) * MS;
-        self.calls.deadlines.add(until, Due::Link(LinkDue::Journal(token)));
-    }
-
-    fn journal_answered(&mut self, answer: directory::Answer, kept: bool) {
-        self.calls.counters.up("taken journal answers");
-        self.asking = false;
-        // An answer with nothing in it comes after the time asked for. One that comes sooner is not asked for
-        // again at once, or the two would keep each other busy.
-        let mut hasty = answer.entries.is_empty() && self.now < self.asked + HOLD_MS * MS / 2;
-        let news = self.calls.directory.take(answer).unwrap_or_else(|missing| {
-            self.calls.counters.up("errors journal events missing");
-            hasty = true;
-            missing.0
-        });
-        self.calls.news(self.now, news);
-        if !kept {
-            let token = self.journal_conn.take();
-            token.and_then(|token| self.conns.remove(&token));
-        }
-        let pause = if hasty { ASK_AGAIN } else { 0 };
-        self.calls.deadlines.add(self.now + pause, Due::Link(LinkDue::Ask));
-    }
-
     // -----------------------------------------------------------------------------------------------------
     // Deadlines, commands, signals
     // -----------------------------------------------------------------------------------------------------
@@ -585,13 +461,9 @@
                 }
             }
             LinkDue::Ask => self.ask_journal(),
-            LinkDue::Journal(token) => {
-                let overdue = self.now >= self.asked + (HOLD_MS + 1_000) * MS;
-                if overdue && self.conns.contains_key(&token) {
-                    self.calls.counters.up("errors journal silent");
-                    self.lost(token, false);
-                }
-            }
+            LinkDue::Journal(token) => self.journal_due(token),
+            LinkDue::Caller(token) => self.caller_due(token),
+            LinkDue::Releases => self.deliver(None),
             LinkDue::StopListening => {
                 self.accept();
                 self.listener = None;
@@ -622,41 +494,24 @@
         }
     }
 
-    fn say_caller(&mut self, link: Option<CallerLink>, id: u64, say: &ToCaller) {
-        let open = |t: &u64| self.conns.get(t).is_some_and(|c| matches!(c.peer, Peer::Caller(_)) && !c.ended);
-        let own = link.filter(|t| self.caller(*t));
-        let token = match say {
-            // What ends a call that stands may go on any connection, the one of its set-up first.
-            ToCaller::Released(_) => {
-                own.filter(open).or_else(|| self.conns.keys().rev().copied().find(open)).or(own)
-            }
-            _ => own,
-        };
-        let conn = token.and_then(|token| self.conns.get_mut(&token));
-        match (conn.map(|c| &mut c.peer), say) {
-            (Some(Peer::Caller(caller)), say) => caller.say(self.now, id, say),
-            (_, ToCaller::Released(cause)) if self.undelivered.len() < UNDELIVERED => {
-                self.undelivered.push((id, *cause));
-            }
-            _ => self.calls.counters.up("errors answers without a connection"),
-        }
-    }
-
-    fn say_exchange(&mut self, to: ExchangeId, id: u64, say: &ToExchange) {
-        let Some(link) = self.links.get_mut(&to) else {
-            if let ToExchange::SetUp { attempt, .. } = say {
-                self.calls.attempt_lost(self.now, id, *attempt, Came::NeverSent);
-            }
-            return;
-        };
-        let goes = link.session.say(id, say);
-        let unconnected = link.conn.is_none();
-        if let (ToExchange::SetUp { attempt, .. }, false) = (say, goes) {
-            self.calls.attempt_lost(self.now, id, *attempt, Came::NeverSent);
-        }
-        if unconnected {
-            self.connect(to);
-        }
+    /// Reads the configuration again and applies it whole, or not at all. Calls and connections stay.
+    fn reload(&mut self) -> Result<(), String> {
+        let (config, told) = read_config(&self.path)?;
+        if !self.calls.admits(&told) {
+            return Err("configuration: settings: own exchange, layout or classes differ: start anew".into());
+        }
+        if config.listen != self.listen && self.listener.is_some() {
+            self.listener = Some(listen(&self.epoll, config.listen)?);
+            self.listen = config.listen;
+        }
+        self.tick = told.module.tick;
+        self.bounds = config.limits.bounds();
+        self.calls.reconfigure(told, self.bounds, &config.settings);
+        let known = self.calls.directory.take(config.known);
+        self.calls.news(self.now, known.unwrap_or_else(|missing| missing.0));
+        self.move_journal(config.journal);
+        self.calls.counters.up("taken configurations");
+        Ok(())
     }
 
     fn end(&mut self) {
--- a/dillhold/src/session/mod.rs
+++ b/dillhold/src/session/mod.rs
@@ -51,6 +51,11 @@
         &self.bytes[self.taken..self.filled]
     }
 
+    /// Bytes of memory that it takes.
+    pub fn held(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Takes bytes from the front.
     pub fn take(&mut self, count: usize) {
         self.taken = (self.taken + count).min(self.filled);
@@ -88,6 +93,11 @@
         self.marks.push_back(Mark { begun: false, start, end: self.bytes.len(), what });
     }
 
+    /// Bytes of memory that it takes.
+    pub fn held(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// What has to be written next.
     pub fn pending(&self) -> &[u8] {
         &self.bytes[self.written..]
--- a/dillhold/tests/calls.rs
+++ b/dillhold/tests/calls.rs
@@ -13,32 +13,41 @@
 
 /// A table that knows exchanges 1 and 2 by the handles 0 and 1.
 fn table() -> Calls {
+    table_within(None)
+}
+
+/// The same, with so many bytes for open set-ups.
+fn table_within(open_bytes: Option<usize>) -> Calls {
     let address = "127.0.0.1:1".parse().unwrap();
     let targets = [1, 2].map(|n| target(n, &format!("s-{n}"), address, "SERVING"));
     let config = read_config(&config(address, address, &targets).to_string()).unwrap();
     let directory = Directory::new(&config.settings);
-    let mut calls = Calls::new(read_settings(&config).unwrap(), directory).unwrap();
+    let mut bounds = config.limits.bounds();
+    bounds.open_bytes = open_bytes.unwrap_or(bounds.open_bytes);
+    let mut calls = Calls::new(read_settings(&config).unwrap(), bounds, directory).unwrap();
     let news = calls.directory.take(config.known).unwrap();
     calls.news(START, news);
     calls.commands.clear();
     calls
 }
 
-fn set_up(calls: &mut Calls, now: Nanos, link: CallerLink, id: u64, transit: bool) {
-    let (advised, wait) = (Some(2), 3_000 * MS);
-    let set_up = SetUp {
-        id,
+fn plain(transit: bool) -> SetUp<'static> {
+    SetUp {
+        id: 1,
         class: b"view",
-        wait,
+        wait: 3_000 * MS,
         number: b"77",
         destination: 1,
         width: None,
-        advised,
+        advised: Some(2),
         transit,
         again: false,
         description: DESCRIPTION,
-    };
-    calls.from_caller(now, link, FromCaller::SetUp(set_up));
+    }
+}
+
+fn set_up(calls: &mut Calls, now: Nanos, link: CallerLink, id: u64, transit: bool) {
+    calls.from_caller(now, link, FromCaller::SetUp(SetUp { id, ..plain(transit) }));
     calls.settle(now);
 }
 
@@ -131,15 +140,77 @@
     assert_eq!(calls.commands, vec![released]);
 }
 
+/// Both set-ups of one id once went on as one call, and the second was told nothing.
 #[test]
 fn an_id_in_use_is_not_served_twice() {
     let mut calls = table();
     set_up(&mut calls, START, 7, 1, false);
     run(&mut calls, START);
-    set_up(&mut calls, START, 7, 1, false);
-    assert_eq!(calls.commands, vec![], "its own connection gets one answer");
+    let failed = |link| Command::Caller { link: Some(link), id: 1, say: ToCaller::Failed };
     set_up(&mut calls, START, 8, 1, false);
-    assert_eq!(calls.commands, vec![Command::Caller { link: Some(8), id: 1, say: ToCaller::Failed }]);
+    assert_eq!(calls.commands, vec![failed(8)], "another connection's set-up is no matter of the call");
+    calls.commands.clear();
+    set_up(&mut calls, START, 7, 1, false);
+    let given_up = Command::Exchange { to: 0, id: 1, say: ToExchange::GiveUp { attempt: 0 } };
+    assert_eq!(calls.commands, vec![failed(7), given_up], "one answer for both");
+    assert_eq!((calls.open(), calls.bears(7)), (0, false));
+    calls.commands.clear();
+    set_up(&mut calls, START + MS, 9, 1, false);
+    assert_eq!(calls.commands, vec![failed(9)], "late words on the first would be taken for the second's");
+    run(&mut calls, START + 6_000 * MS);
+    set_up(&mut calls, START + 6_000 * MS, 9, 1, false);
+    assert_eq!(sent_to(&run(&mut calls, START + 6_000 * MS)).len(), 1, "in the end an id is forgotten");
+}
+
+/// A set-up that crosses the close of its connection comes again on another, under the same id.
+#[test]
+fn a_set_up_lost_with_its_connection_may_come_again() {
+    let mut calls = table();
+    set_up(&mut calls, START, 7, 1, false);
+    calls.caller_lost(START, 7);
+    run(&mut calls, START);
+    set_up(&mut calls, START + MS, 8, 1, false);
+    assert_eq!(sent_to(&run(&mut calls, START + MS)).len(), 1);
+}
+
+#[test]
+fn what_a_connection_bears_is_known_until_its_last_call_is_over() {
+    let mut calls = table();
+    set_up(&mut calls, START, 7, 1, false);
+    assert!(calls.open_on(7) && calls.bears(7));
+    calls.from_exchange(START, 0, FromExchange::Answered { id: 1, attempt: 0, description: b"d" });
+    assert!(!calls.open_on(7) && calls.bears(7));
+    calls.from_exchange(START, 0, FromExchange::Released { id: 1, cause: 16 });
+    assert!(!calls.bears(7));
+}
+
+/// An answer under an id that was never sent from here was once answered with a release.
+#[test]
+fn second_copies_and_answers_under_unknown_ids_change_nothing() {
+    let mut calls = table();
+    calls.from_exchange(START, 0, FromExchange::Answered { id: 5, attempt: 0, description: b"odd" });
+    assert_eq!(calls.commands, vec![]);
+    set_up(&mut calls, START, 7, 1, false);
+    for description in [b"good", b"copy"] {
+        calls.from_exchange(START, 0, FromExchange::Answered { id: 1, attempt: 0, description });
+    }
+    let said = run(&mut calls, START);
+    assert_eq!(finals(&said), vec![(0, &ToCaller::Answer(b"good".to_vec()))]);
+    assert_eq!(said.len(), 2, "the set-up and its answer");
+}
+
+/// What is kept for open set-ups once knew no bound but their number.
+#[test]
+fn set_ups_beyond_the_memory_are_refused() {
+    let big = [b'x'; 15_000];
+    let mut calls = table_within(Some(20_000));
+    for id in [1, 2] {
+        let s = SetUp { id, description: &big, ..plain(false) };
+        calls.from_caller(START, 7, FromCaller::SetUp(s));
+    }
+    assert_eq!(calls.open(), 1);
+    let last = calls.commands.pop_back();
+    assert!(matches!(last, Some(Command::Caller { say: ToCaller::Refused(_), .. })), "{last:?}");
 }
 
 #[test]
--- a/dillhold/tests/common/mod.rs
+++ b/dillhold/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -103,6 +104,18 @@
         );
     }
 
+    /// Comes to know that the other side has closed the connection.
+    pub fn closed(&mut self) {
+        let mut bytes = [0; 4096];
+        while !matches!(self.stream.read(&mut bytes), Ok(0)) {
+            // What was said before the close is of no interest; a reset is a close too.
+            if let Err(e) = self.stream.read(&mut bytes) {
+                assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset, "the connection is still open");
+                return;
+            }
+        }
+    }
+
     /// Comes to know that nothing else was said: a test is answered next.
     pub fn nothing_else(&mut self) {
         self.say(52, 99, &[(114, &[0])]);
@@ -114,12 +127,16 @@
 pub struct Program {
     pub child: Child,
     pub listen: SocketAddr,
+    /// Its configuration and where that is.
+    pub config: Value,
+    pub path: PathBuf,
 }
 
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
     }
 }
 
@@ -128,6 +145,19 @@
         Wire::new(TcpStream::connect(self.listen).unwrap())
     }
 
+    /// The program's standard error up to some text.
+    pub fn printed(&mut self, until: &str) -> String {
+        let stderr = self.child.stderr.as_mut().unwrap();
+        let mut printed = String::new();
+        while !printed.contains(until) {
+            let mut bytes = [0; 1024];
+            let count = stderr.read(&mut bytes).unwrap();
+            assert!(count > 0, "the program ended: {printed}");
+            printed.push_str(&String::from_utf8_lossy(&bytes[..count]));
+        }
+        printed
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
@@ -148,7 +178,7 @@
            "state": state, "capacity_hint": 1, "boot_ms": 0})
 }
 
-fn config_path(name: &str) -> std::path::PathBuf {
+pub fn config_path(name: &str) -> PathBuf {
     std::env::temp_dir().join(format!("dillhold-test-{}-{name}.json", std::process::id()))
 }
 
@@ -163,7 +193,7 @@
 pub fn config(listen: SocketAddr, journal: SocketAddr, targets: &[Value]) -> Value {
     json!({
         "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "journal": journal,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 64},
         "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"rev": 1, "all": true, "targets": targets}}]},
         "settings": {
             "az": "east", "dcs": ["east"], "instances": 3, "my-number": 0, "tick": 5_000_000,
@@ -189,7 +219,8 @@
     let targets: Vec<Value> =
         targets.chain([target(0, "s-0", "127.0.0.1:1".parse().unwrap(), "SERVING")]).collect();
     let config = config(listen, journal, &targets);
-    let mut program = Program { child: launch(&config.to_string(), name), listen };
+    let child = launch(&config.to_string(), name);
+    let mut program = Program { child, listen, config, path: config_path(name) };
     let up = std::iter::repeat_with(|| {
         std::thread::sleep(Duration::from_millis(5));
         assert!(program.child.try_wait().unwrap().is_none(), "the program ended");
@@ -197,6 +228,5 @@
     });
     let stream = up.take(4000).find_map(Result::ok).expect("the program listens");
     Wire::new(stream).nothing_else();
-    let _ = std::fs::remove_file(config_path(name));
     program
 }
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -232,14 +232,7 @@
     let (mut program, mut caller, mut exchange, _, _l) = scene("counters");
     stand(&mut caller, &mut exchange, 19);
     program.signal("-USR1");
-    let mut stderr = program.child.stderr.take().unwrap();
-    let mut printed = String::new();
-    while !printed.contains("counter taken set-ups 1\n") {
-        let mut bytes = [0; 1024];
-        let count = stderr.read(&mut bytes).unwrap();
-        assert!(count > 0, "the program ended: {printed}");
-        printed.push_str(&String::from_utf8_lossy(&bytes[..count]));
-    }
+    program.printed("counter taken set-ups 1\n");
     caller.stream.flush().unwrap();
     caller.nothing_else();
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -321,6 +321,14 @@
         })
     }
 
+    /// Goes on with other settings of the same exchange, layout and classes; bad ones change nothing.
+    pub fn reconfigure(&mut self, set: Settings) {
+        if set.check().is_ok() {
+            self.aim = set.classes.iter().map(|c| secs(c.aim)).fold(0.0, f64::max);
+            self.set = set;
+        }
+    }
+
     /// Takes in one event and adds to `actions` what follows from it.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         let (from, due) = (actions.len(), self.due.first().map_or(now, |due| now.min(*due)));
