Close an exchange's connection on heads that are not SIP

At fault: codec/mod.rs, headers(), which skipped lines without a colon, and sip::parse(), which took a missing Content-Length for zero and the first of two for the only one.

A head must now be headers throughout, with one length that is a number; folded lines are read on.

--- a/dillhold/src/codec/http.rs
+++ b/dillhold/src/codec/http.rs
@@ -3,7 +3,7 @@
 
 use std::borrow::Cow;
 
-use super::{decimal, head_end, header, Parsed, Unreadable};
+use super::{body_length, decimal, head_end, header, Parsed, Unreadable};
 
 /// The most bytes of a journal answer's body. It may hold a whole list and many changes after a silence, so it
 /// is more than one message of the call protocols.
@@ -38,8 +38,8 @@
     let body = if coding.eq_ignore_ascii_case(b"chunked") {
         chunked(rest)?.map(|(body, taken)| (Cow::Owned(body), taken))
     } else {
-        let length = match header(head, &["Content-Length"]) {
-            Some(value) => decimal(value).ok_or(Unreadable::Malformed)?,
+        let length = match body_length(head, &["Content-Length"])? {
+            Some(length) => length,
             None if status == 204 || status == 304 || status < 200 => 0,
             None => return Err(Unreadable::Malformed),
         };
--- a/dillhold/src/codec/mod.rs
+++ b/dillhold/src/codec/mod.rs
@@ -36,19 +36,42 @@
     }
 }
 
-/// The header lines of a head: name and value without the white space round them. Lines without a colon are
-/// skipped.
-fn headers(head: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
-    head.split(|b| *b == b'\n').skip(1).filter_map(|line| {
+/// The header lines of a head: name and value without the white space round them. `None`: a line that is no
+/// header, nor goes on with the one before.
+fn headers(head: &[u8]) -> impl Iterator<Item = Option<(&[u8], &[u8])>> {
+    let lines = head.split(|b| *b == b'\n').skip(1).map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let folded = |line: &&[u8]| line.is_empty() || matches!(line[0], b' ' | b'\t');
+    lines.filter(move |line| !folded(line)).map(|line| {
         let colon = line.iter().position(|b| *b == b':')?;
-        Some((line[..colon].trim_ascii(), line[colon + 1..].trim_ascii()))
+        let name = line[..colon].trim_ascii_end();
+        let token = |b: &u8| b.is_ascii_alphanumeric() || b"-_.!%*+`'~".contains(b);
+        let named = !name.is_empty() && name.iter().all(token);
+        Some((name, line[colon + 1..].trim_ascii())).filter(|_| named)
     })
 }
 
 /// A header's value by any of its names, whatever their case.
 fn header<'a>(head: &'a [u8], names: &[&str]) -> Option<&'a [u8]> {
     let named = |name: &[u8]| names.iter().any(|n| name.eq_ignore_ascii_case(n.as_bytes()));
-    headers(head).find(|(name, _)| named(name)).map(|(_, value)| value)
+    headers(head).flatten().find(|(name, _)| named(name)).map(|(_, value)| value)
+}
+
+/// The length that a head gives for its body: a number, the same wherever it is given. Whoever reads on past a
+/// length that may be wrong takes one message's bytes for another's.
+fn body_length(head: &[u8], names: &[&str]) -> Result<Option<u64>, Unreadable> {
+    let named = |name: &[u8]| names.iter().any(|n| name.eq_ignore_ascii_case(n.as_bytes()));
+    let mut length = None;
+    for line in headers(head) {
+        let (name, value) = line.ok_or(Unreadable::Malformed)?;
+        if named(name) {
+            let told = decimal(value).ok_or(Unreadable::Malformed)?;
+            if length.is_some_and(|known| known != told) {
+                return Err(Unreadable::Malformed);
+            }
+            length = Some(told);
+        }
+    }
+    Ok(length)
 }
 
 /// A whole number in decimal digits and nothing else.
--- a/dillhold/src/codec/sip.rs
+++ b/dillhold/src/codec/sip.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use super::{call_id, decimal, head_end, header, Parsed, Unreadable, MESSAGE_CAP};
+use super::{body_length, call_id, decimal, head_end, header, Parsed, Unreadable, MESSAGE_CAP};
 
 /// What a message is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,10 +78,7 @@
     let head = &bytes[..end];
     let line = head.split(|b| *b == b'\r').next().unwrap_or_default();
     let start = start(line).ok_or(Unreadable::Malformed)?;
-    let length = match header(head, &["Content-Length", "l"]) {
-        Some(value) => decimal(value).ok_or(Unreadable::Malformed)?,
-        None => 0,
-    };
+    let length = body_length(head, &["Content-Length", "l"])?.ok_or(Unreadable::Malformed)?;
     if length > (MESSAGE_CAP - end) as u64 {
         return Err(Unreadable::TooLong);
     }
--- a/dillhold/tests/parsers.rs
+++ b/dillhold/tests/parsers.rs
@@ -75,7 +75,7 @@
             for (code, call, number, body) in &messages {
                 let line = format_args!("SIP/2.0 {code} Word");
                 let call = format!("{call:016x}");
-                let further = format_args!("Reason: Q.850;cause=16\r\nX-Odd\r\n");
+                let further = format_args!("Reason: Q.850;cause=16\r\nX-Odd:\r\n folded\r\n");
                 sip::write(&mut stream, line, call.as_bytes(), (*number, "INVITE"), further, body);
             }
             let found = read(&stream, &cuts, |bytes| {
@@ -161,6 +161,32 @@
     assert_eq!(sip::parse(&vec![b'A'; MESSAGE_CAP]), Err(Unreadable::TooLong));
 }
 
+/// An answer with a line that is no header was once passed on as good.
+#[test]
+fn spoilt_answers_cannot_be_read() {
+    let answer = |first: &str, lines: &str| format!("{first}\r\n{lines}\r\n\r\nabcd");
+    let good = answer("SIP/2.0 200 OK", "Call-ID: 00000000000000aa\r\nl: 4\r\nContent-Length: 4");
+    assert!(matches!(sip::parse(good.as_bytes()), Ok(Some((m, _))) if m.body == b"abcd"));
+    for (first, lines) in [
+        ("SIP/9.9 OK 200", "Content-Length: 4"),
+        ("SIP/2.0 OK", "Content-Length: 4"),
+        ("SIP/2.0 200 OK", "no colon here\r\nContent-Length: 4"),
+        ("SIP/2.0 200 OK", "\u{7f}\u{1}: x\r\nContent-Length: 4"),
+        ("SIP/2.0 200 OK", "Content-Length: -4"),
+        ("SIP/2.0 200 OK", "Content-Length: x\r\nContent-Length: 4"),
+        ("SIP/2.0 200 OK", "Content-Length: 4\r\nContent-Length: 5"),
+        ("SIP/2.0 200 OK", "Call-ID: 00000000000000aa"),
+    ] {
+        assert_eq!(
+            sip::parse(answer(first, lines).as_bytes()),
+            Err(Unreadable::Malformed),
+            "{first} {lines}"
+        );
+    }
+    let huge = answer("SIP/2.0 200 OK", "Content-Length: 3000000000");
+    assert_eq!(sip::parse(huge.as_bytes()), Err(Unreadable::TooLong), "on the claim, not on the bytes");
+}
+
 /// What has begun to leave cannot be taken back; what has not must not leave.
 #[test]
 fn only_what_has_not_begun_to_leave_is_taken_back() {
