Match answers by call and exchange, try again after faults, say when to come back

The protocol says that Call-ID and the method of CSeq match; the number was never promised. At fault: session/exchange.rs, invited(), which took the number for the attempt, and call, out_at(), which compared it: every second attempt was left waiting until its deadline, and what stood for it was released.

Now it tries again where the exchange fails more than a tenth of what it is sent, and after a connection that broke on the same route. The module forgets routes of machines that are gone and destinations nobody asks for; the check of its load count, which only debug builds ran, made room.

A message that comes half from an exchange ends its connection after 500 ms.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -337,25 +337,21 @@
     // From exchanges
     // -----------------------------------------------------------------------------------------------------
 
-    /// The attempt that is out for a call at this exchange, if it is that one. Late words on an earlier
-    /// attempt with the same id must not count for the present one.
-    fn out_at(&self, id: u64, exchange: ExchangeId, attempt: u32) -> Option<Out> {
-        let out = self.table.get(&id)?.out?;
-        Some(out).filter(|o| o.exchange == exchange && o.attempt == attempt)
+    /// The attempt that is out for a call, if it is at this exchange. Exchanges name the call and not which of
+    /// its attempts they speak of: by the release wait, or by its final response, an earlier attempt at the same
+    /// exchange has had its last word before the next one is sent.
+    fn out_at(&self, id: u64, exchange: ExchangeId) -> Option<Out> {
+        self.table.get(&id)?.out.filter(|o| o.exchange == exchange)
     }
 
     /// Takes in what an exchange said.
     pub fn from_exchange(&mut self, now: Nanos, exchange: ExchangeId, said: FromExchange<'_>) {
         match said {
-            FromExchange::Answered { id, attempt, description } => {
-                self.answer(now, exchange, id, attempt, description)
-            }
-            FromExchange::Ended { id, attempt, outcome, cause, report } => {
-                match self.out_at(id, exchange, attempt) {
-                    Some(out) => self.ended(now, id, out, (outcome, cause, report)),
-                    None => self.counters.up("taken endings too late"),
-                }
-            }
+            FromExchange::Answered { id, description } => self.answer(now, exchange, id, description),
+            FromExchange::Ended { id, outcome, cause, report } => match self.out_at(id, exchange) {
+                Some(out) => self.ended(now, id, out, (outcome, cause, report)),
+                None => self.counters.up("taken endings too late"),
+            },
             FromExchange::Released { id, cause } => self.released(now, exchange, id, cause),
             FromExchange::Group(report) => {
                 self.counters.up("taken group states");
@@ -364,16 +360,16 @@
         }
     }
 
-    fn answer(&mut self, now: Nanos, exchange: ExchangeId, id: u64, attempt: u32, description: &[u8]) {
-        let Some(out) = self.out_at(id, exchange, attempt) else {
-            let stood = self.table.get(&id).and_then(|c| c.stands);
-            if !stood.is_some_and(|s| s.exchange == exchange && s.attempt == attempt) {
-                self.counters.up("taken answers too late");
-                // The answer crossed the end of its attempt: what stands there must not be left standing. One
-                // under an id that was never sent from here is dropped: nothing stands for it.
-                if self.table.contains_key(&id) || self.over.knows(id) {
-                    self.say_exchange(exchange, id, ToExchange::Release(16));
-                }
+    fn answer(&mut self, now: Nanos, exchange: ExchangeId, id: u64, description: &[u8]) {
+        let Some(out) = self.out_at(id, exchange) else {
+            self.counters.up("taken answers too late");
+            // The answer crossed the end of its attempt: what stands there must not be left standing. But one
+            // more answer where the call stands already would have it released, and one under an id that was
+            // never sent from here is dropped, for nothing stands for it.
+            let call = self.table.get(&id);
+            let copy = call.and_then(|c| c.stands).is_some_and(|s| s.exchange == exchange);
+            if !copy && (call.is_some() || self.over.knows(id)) {
+                self.say_exchange(exchange, id, ToExchange::Release(16));
             }
             return;
         };
@@ -386,7 +382,7 @@
         self.borne(link, |b| b.standing += 1);
         self.counters.up("answered stands");
         self.say(Some(link), id, ToCaller::Answer(description.to_vec()));
-        self.tell(now, Event::Stands { call: handle, attempt, took: now - out.sent });
+        self.tell(now, Event::Stands { call: handle, attempt: out.attempt, took: now - out.sent });
     }
 
     fn released(&mut self, now: Nanos, exchange: ExchangeId, id: u64, cause: u8) {
--- a/dillhold/src/call/words.rs
+++ b/dillhold/src/call/words.rs
@@ -54,8 +54,6 @@
     Answered {
         /// The call.
         id: u64,
-        /// Which attempt.
-        attempt: u32,
         /// The exchange's description.
         description: &'a [u8],
     },
@@ -63,8 +61,6 @@
     Ended {
         /// The call.
         id: u64,
-        /// Which attempt.
-        attempt: u32,
         /// How.
         outcome: Outcome,
         /// Why.
@@ -181,6 +177,8 @@
 pub enum LinkDue {
     /// A connection must be up by now.
     Connect(u64),
+    /// A message that came half on this connection of an exchange must be whole.
+    Half(ExchangeId, u64),
     /// An exchange is connected to again.
     Redial(ExchangeId),
     /// The journal is asked again.
--- a/dillhold/src/net/exchanges.rs
+++ b/dillhold/src/net/exchanges.rs
@@ -17,6 +17,9 @@
 /// listener; the calls that stand there are worth the wait.
 const REFUSALS: u32 = 3;
 
+/// A message that does not become whole for so long never will, and nothing that follows it can be read.
+pub const HALF: Nanos = 500 * MS;
+
 /// The link to an exchange, across its connections.
 pub struct Link {
     pub session: Exchange,
@@ -101,6 +104,14 @@
         }
     }
 
+    pub(super) fn half_due(&mut self, id: ExchangeId, token: u64) {
+        let link = self.links.get(&id).filter(|l| l.conn == Some(token));
+        if link.and_then(|l| l.session.half).is_some_and(|since| self.now >= since + HALF) {
+            self.calls.counters.up("closed exchanges with half a message");
+            self.close(token);
+        }
+    }
+
     pub(super) fn say_exchange(&mut self, to: ExchangeId, id: u64, say: &ToExchange) {
         let Some(link) = self.links.get_mut(&to) else {
             if let ToExchange::SetUp { attempt, .. } = say {
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -339,7 +339,15 @@
         match &mut conn.peer {
             Peer::Caller(caller) => caller.feed(self.now, token, &mut self.calls).is_ok(),
             Peer::Exchange(id) => match self.links.get_mut(id) {
-                Some(link) => link.session.feed(self.now, *id, &mut self.calls).is_ok(),
+                Some(link) => {
+                    let before = link.session.half;
+                    let readable = link.session.feed(self.now, *id, &mut self.calls).is_ok();
+                    if link.session.half.is_some() && link.session.half != before {
+                        let due = Due::Link(LinkDue::Half(*id, token));
+                        self.calls.deadlines.add(self.now + exchanges::HALF, due);
+                    }
+                    readable
+                }
                 None => false,
             },
             Peer::Journal(journal) => match journal.feed() {
@@ -454,6 +462,7 @@
                     self.lost(token, true);
                 }
             }
+            LinkDue::Half(id, token) => self.half_due(id, token),
             LinkDue::Redial(id) => {
                 if let Some(link) = self.links.get_mut(&id) {
                     link.redial = false;
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -23,6 +23,8 @@
     pub inbox: Inbox,
     /// What is to be written on the present connection, or on the next one.
     pub outbox: Outbox,
+    /// Since when the message that has begun to come has not become whole.
+    pub half: Option<Nanos>,
     /// Releases said and not heard yet: by call the cause.
     unheard: BTreeMap<u64, u8>,
 }
@@ -31,6 +33,7 @@
     /// Takes in what is in the inbox. An error means that the connection has to be closed.
     pub fn feed(&mut self, now: Nanos, from: ExchangeId, calls: &mut Calls) -> Result<(), Unreadable> {
         let (out, unheard) = (&mut self.outbox, &mut self.unheard);
+        let (before, mut whole) = (self.half, false);
         drain(&mut self.inbox, |rest| {
             let Some((message, taken)) = sip::parse(rest)? else { return Ok(None) };
             match message.start {
@@ -44,12 +47,18 @@
                         (Some(id), Some((_, b"BYE"))) if code >= 200 => {
                             unheard.remove(&id);
                         }
-                        _ => {}
+                        (Some(_), Some(_)) => {}
+                        // What answers nobody knows what is spoilt, and so may be what follows it.
+                        _ => return Err(Unreadable::Malformed),
                     }
                 }
             }
+            whole = true;
             Ok(Some(taken))
-        })
+        })?;
+        let since = before.filter(|_| !whole).unwrap_or(now);
+        self.half = Some(since).filter(|_| !self.inbox.rest().is_empty());
+        Ok(())
     }
 
     /// Writes what the exchange is told. False: a set-up that does not go out.
@@ -59,6 +68,8 @@
                 if self.outbox.pending().len() > WAITING {
                     return false;
                 }
+                // A release of an earlier attempt, said again, would end this one.
+                self.unheard.remove(&id);
                 let (class, number) = (String::from_utf8_lossy(class), String::from_utf8_lossy(number));
                 let (uri, wait) = (format!("sip:{number}@net"), wait / MS);
                 self.outbox.mark((id, *attempt), |out| {
@@ -91,7 +102,7 @@
 
     /// The connection is gone, or never came up. Tells the attempts whose set-up had not left whole.
     pub fn lost(&mut self) -> Vec<(u64, u32)> {
-        self.inbox = Inbox::default();
+        (self.inbox, self.half) = (Inbox::default(), None);
         let unsent = self.outbox.clear();
         for (id, cause) in std::mem::take(&mut self.unheard) {
             self.write_release(id, cause);
@@ -159,7 +170,8 @@
     sip::write(out, line, message.raw_call_id(), (number, method), format_args!(""), b"");
 }
 
-/// A response to a set-up: the attempt it speaks of is told by the number of `CSeq`.
+/// A response to a set-up. Which attempt it speaks of is not told: exchanges give the number of `CSeq` as they
+/// like.
 fn invited(
     now: Nanos,
     from: ExchangeId,
@@ -173,12 +185,11 @@
         return; // progress means nothing
     }
     request_line(out, "ACK", "sip:call@net", id, number, format_args!(""), b"");
-    let attempt = number.wrapping_sub(1);
     let said = if code < 300 {
-        FromExchange::Answered { id, attempt, description: message.body }
+        FromExchange::Answered { id, description: message.body }
     } else {
         let (outcome, cause) = ending(code, message);
-        FromExchange::Ended { id, attempt, outcome, cause, report: report(message, calls) }
+        FromExchange::Ended { id, outcome, cause, report: report(message, calls) }
     };
     calls.from_exchange(now, from, said);
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,6 +14,16 @@
 /// The embedder's handle for a dialled number.
 pub type NumberId = u64;
 
+/// A span in seconds.
+pub fn secs(t: Nanos) -> f64 {
+    t as f64 * 1e-9
+}
+
+/// A span of so many seconds.
+pub fn nanos(s: f64) -> Nanos {
+    (s * 1e9) as Nanos
+}
+
 /// How the network is laid out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shape {
@@ -55,6 +65,13 @@
     pub repeatable: bool,
 }
 
+impl Class {
+    /// Circuit-seconds that a call takes of each group.
+    pub fn circuit_seconds(&self) -> f64 {
+        f64::from(self.width) * secs(self.hold).max(1e-3)
+    }
+}
+
 /// The figures of the rule on cold exchanges.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdRule {
@@ -116,6 +133,11 @@
 }
 
 impl Settings {
+    /// The longest aim of the classes, in seconds.
+    pub fn longest_aim(&self) -> f64 {
+        self.classes.iter().map(|c| secs(c.aim)).fold(0.0, f64::max)
+    }
+
     /// Whether the settings make sense.
     pub fn check(&self) -> Result<(), SettingsError> {
         if self.classes.is_empty() {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,8 +33,9 @@
 /// Time per set-up out, in longest aims, that is assumed before any answer: an agent that starts
 /// in the middle of trouble (its predecessor's calls cut, all dialling again) must not send them all unseen.
 const START_PACE: f64 = 0.1;
-/// Weight of the newest tandem set-up in the running share of those not turned back.
-const THROUGH_GAIN: f64 = 0.05;
+/// Weight of the newest set-up in the running shares: of those not turned back by tandems, and of those that
+/// an exchange fails for no cause told.
+const SHARE_GAIN: f64 = 0.05;
 /// Seconds that a timer must be overdue to tell of an own pause.
 const PAUSE: f64 = 0.1;
 /// Weight of the newest error in the running spread of errors.
@@ -68,6 +69,10 @@
 const RATE_START: f64 = 0.2;
 /// Seconds over which the highest such rate fades.
 const PEAK_SPAN: f64 = 600.0;
+/// Above this share the exchange is at fault and not the call: another attempt may do.
+const FAULTY: f64 = 0.1;
+/// Aims that a refused caller is asked to stay away: while it can still be in time, and after that.
+const PAUSE_AIMS: [f64; 2] = [0.15, 1.0];
 /// Ticks before the caller's deadline at which an answer is given whatever happens.
 const ANSWER_TICKS: u64 = 2;
 /// Seconds between two tries to get the list where it must be asked for.
@@ -75,14 +80,6 @@
 /// The token of the timer that asks for the list; calls use their own number.
 const ASK_TOKEN: u64 = u64::MAX;
 
-fn secs(t: Nanos) -> f64 {
-    t as f64 * 1e-9
-}
-
-fn nanos(s: f64) -> Nanos {
-    (s * 1e9) as Nanos
-}
-
 /// Chance that a standard normal value is at most `x`.
 fn normal(x: f64) -> f64 {
     0.5 * libm::erfc(-x / std::f64::consts::SQRT_2)
@@ -170,6 +167,8 @@
     standing: Standing,
     /// While it is cold: nothing is sent to it before.
     next: Nanos,
+    /// Running share of set-ups that it fails for no cause told.
+    faults: f64,
 }
 
 /// What is remembered of a destination's number.
@@ -287,9 +286,8 @@
     /// A controller that has seen nothing yet.
     pub fn new(set: Settings, seed: u64) -> Result<Controller, SettingsError> {
         set.check()?;
-        let aim = set.classes.iter().map(|c| secs(c.aim)).fold(0.0, f64::max);
         let least = set.classes.iter().map(|c| c.worth).fold(f64::INFINITY, f64::min);
-        let use_ = set.classes.iter().map(circuit_seconds).fold(f64::INFINITY, f64::min);
+        let use_ = set.classes.iter().map(Class::circuit_seconds).fold(f64::INFINITY, f64::min);
         Ok(Controller {
             rng: ChaCha8Rng::seed_from_u64(seed),
             exchanges: BTreeMap::new(),
@@ -305,8 +303,8 @@
             started: None,
             soon: 0,
             spread2: 0.0,
-            pace: START_PACE * aim,
-            aim,
+            pace: START_PACE * set.longest_aim(),
+            aim: set.longest_aim(),
             set,
             typical: 0.0,
             mean_worth: least,
@@ -324,7 +322,7 @@
     /// Goes on with other settings of the same exchange, layout and classes; bad ones change nothing.
     pub fn reconfigure(&mut self, set: Settings) {
         if set.check().is_ok() {
-            self.aim = set.classes.iter().map(|c| secs(c.aim)).fold(0.0, f64::max);
+            self.aim = set.longest_aim();
             self.set = set;
         }
     }
@@ -459,18 +457,9 @@
         while self.loud.first().is_some_and(|(sent, _)| self.silent(now, *sent)) {
             self.loud.pop_first();
         }
-        debug_assert_eq!(self.loud.len(), self.afresh(now), "the count kept and one taken afresh");
         1.0 + self.loud.len() as f64
     }
 
-    /// The same count over all routes; checked in debug builds only, with the routes that rho leaves out.
-    fn afresh(&self, now: Nanos) -> usize {
-        let idle = |r: &Route| r.out.is_empty() && r.valid_last(now, f64::INFINITY).is_none();
-        debug_assert!(self.routes.iter().all(|(key, r)| self.busy.contains(key) || idle(r)));
-        let out = self.routes.values().flat_map(|r| &r.out);
-        out.filter(|s| !self.silent(now, s.0)).count()
-    }
-
     fn silent(&self, now: Nanos, sent: Nanos) -> bool {
         secs(now - sent) > SILENT_AIMS * self.aim
     }
@@ -502,7 +491,7 @@
         let gain = class.worth * (in_time + class.late_worth * late);
         let loss = class.worth * (FAIL_COST + self.set.late_fail_price) * fail;
         // No class is priced off its direct route: what it displaces counts up to its own worth.
-        let displaced = (circuit_seconds(class) / self.mean_use * self.mean_worth).min(class.worth);
+        let displaced = (class.circuit_seconds() / self.mean_use * self.mean_worth).min(class.worth);
         let worked = TIME_COST * work * time / aim * self.mean_worth;
         through * (gain - loss - CIRCUIT_COST * scarce * displaced) - worked
     }
@@ -537,7 +526,8 @@
     /// Whether the group has room for a call, the last circuits kept from tandem calls that are not urgent.
     fn room(&self, exchange: ExchangeId, call: &Call, tandem: bool) -> bool {
         let (group, class) = (self.group(exchange), &self.set.classes[call.new.class]);
-        let urgent = class.worth / circuit_seconds(class) >= URGENT_DENSITY * self.mean_worth / self.mean_use;
+        let urgent =
+            class.worth * self.mean_use >= URGENT_DENSITY * self.mean_worth * class.circuit_seconds();
         let kept = if tandem && !urgent { RESERVE_ROOTS } else { 0.0 };
         group.free >= f64::from(call.new.width) + (kept * group.size.sqrt()).ceil()
     }
@@ -575,16 +565,12 @@
     /// Pools that may serve the call: its first choice, the advised one, then the others.
     fn pools(&self, call: &Call) -> Vec<ExchangeId> {
         let skilled = &self.set.classes[call.new.class].pools;
-        let mut numbers = vec![call.new.destination];
-        numbers.extend(call.new.advised);
-        numbers.extend(self.exchanges.values().map(|x| x.number));
+        let wishes = [Some(call.new.destination), call.new.advised].into_iter().flatten();
         let mut found = Vec::new();
-        for n in numbers {
-            if let Some(x) = self.machine(n).filter(|_| skilled.is_empty() || skilled.contains(&n)) {
-                if !found.contains(&x) {
-                    found.push(x);
-                }
-            }
+        for n in wishes.chain(self.exchanges.values().map(|x| x.number)) {
+            let skill = skilled.is_empty() || skilled.contains(&n);
+            let fresh = self.machine(n).filter(|x| skill && !found.contains(x));
+            found.extend(fresh);
         }
         found
     }
@@ -684,14 +670,17 @@
             self.exchanges.retain(|id, _| named.contains(id));
         }
         let gap = self.cold_gap();
-        for e in entries {
-            let Entry { exchange, number, since, standing, .. } = e;
-            let known = self.exchanges.get(&exchange).filter(|x| x.since == since).map(|x| x.next);
+        for Entry { exchange, number, since, standing, .. } in entries {
+            let known = self.exchanges.get(&exchange).filter(|x| x.since == since);
             // All agents learn of a start at once: each begins at a moment of its own within the gap.
-            let next = known.unwrap_or_else(|| now + self.rng.next_u64() % gap.max(1));
-            self.exchanges.insert(exchange, Exchange { number, since, standing, next });
+            let new = || (now + self.rng.next_u64() % gap.max(1), 0.0);
+            let (next, faults) = known.map_or_else(new, |x| (x.next, x.faults));
+            self.exchanges.insert(exchange, Exchange { number, since, standing, next, faults });
         }
         self.exchanges.retain(|_, x| x.standing != Standing::Gone);
+        // On a long day machines and numbers come and go for good.
+        self.routes.retain(|key, r| self.exchanges.contains_key(&key.1) || !r.out.is_empty());
+        self.destinations.retain(|_, d| secs(now - d.asked.unwrap_or(now)) < PEAK_SPAN);
         // Of several machines in service that bear a number, the one that started last.
         self.serving.clear();
         for (id, x) in self.exchanges.iter().filter(|(_, x)| x.standing == Standing::Up) {
@@ -723,13 +712,15 @@
         };
         if !new.transit {
             self.mean_worth += MEAN_GAIN * (class.worth - self.mean_worth);
-            self.mean_use += MEAN_GAIN * (circuit_seconds(class) - self.mean_use);
+            self.mean_use += MEAN_GAIN * (class.circuit_seconds() - self.mean_use);
         }
         let started = *self.started.get_or_insert(now);
-        let d = self.destinations.entry(new.destination).or_default();
-        let gap = secs(now - d.asked.unwrap_or(started));
-        d.gap += if d.asked.is_some() { GAP_GAIN * (gap - d.gap) } else { gap };
-        d.asked = Some(now);
+        if self.serving.contains_key(&new.destination) {
+            let d = self.destinations.entry(new.destination).or_default();
+            let gap = secs(now - d.asked.unwrap_or(started));
+            d.gap += if d.asked.is_some() { GAP_GAIN * (gap - d.gap) } else { gap };
+            d.asked = Some(now);
+        }
         let answer_by = new.deadline.saturating_sub(ANSWER_TICKS * self.set.tick).max(now);
         let (aim, persists) = (class.aim, class.deadline);
         let aim_at = (self.first_try(now, &new, persists) + aim).min(answer_by);
@@ -761,7 +752,7 @@
             if let (Some(out), true) = (call.out, self.set.may_cancel) {
                 actions.push(Action::CallOff { call: id, attempt: out.number });
             }
-            return self.answer(id, false, actions);
+            return self.answer(now, id, false, actions);
         }
         if call.out.is_some() {
             return;
@@ -774,7 +765,7 @@
         match if sendable { self.way(now, &call) } else { None } {
             Some((exchange, time, 0)) => self.send(now, id, exchange, time, actions),
             Some((_, _, wait)) => actions.push(Action::Timer(id, now + wait)),
-            None => self.answer(id, true, actions),
+            None => self.answer(now, id, true, actions),
         }
     }
 
@@ -789,9 +780,7 @@
         let key = (call.new.destination, to);
         self.group_mut(to).free -= f64::from(call.new.width);
         let gap = self.cold_gap();
-        if let Some(x) = self.exchanges.get_mut(&to) {
-            x.next = now + gap;
-        }
+        self.exchanges.entry(to).and_modify(|x| x.next = now + gap);
         let at = self.awake(now);
         let load = self.load(at);
         let route = self.route(at, key);
@@ -811,12 +800,18 @@
         }
     }
 
+    fn faulted(&mut self, exchange: ExchangeId, fault: f64) {
+        self.exchanges.entry(exchange).and_modify(|x| x.faults += SHARE_GAIN * (fault - x.faults));
+    }
+
     /// Gives the final answer of a call.
-    fn answer(&mut self, id: CallId, refuse: bool, actions: &mut Vec<Action>) {
+    fn answer(&mut self, now: Nanos, id: CallId, refuse: bool, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.over = true;
+        let aims = PAUSE_AIMS[usize::from(now >= call.aim_at)];
+        let pause = nanos(aims * self.aim).min(self.set.max_pause.unwrap_or(0));
         let safe = self.set.classes[call.new.class].repeatable || !(call.may_have_run || call.out.is_some());
-        actions.push(if refuse && safe { Action::Refuse { call: id, pause: 0 } } else { Action::Fail(id) });
+        actions.push(if refuse && safe { Action::Refuse { call: id, pause } } else { Action::Fail(id) });
         self.forget_if_over(id);
     }
 
@@ -840,6 +835,7 @@
         let took = at - out.sent;
         let clean = self.set.resend == 0 || took < self.set.resend;
         self.progressed(at, (destination, out.exchange), out.sent, aim);
+        self.faulted(out.exchange, 0.0);
         if let (Some(predicted), true) = (out.predicted, clean) {
             let error = secs(took) - predicted;
             self.pace += PACE_GAIN * (secs(took) / out.load - self.pace);
@@ -857,7 +853,7 @@
         self.rate_at = now;
         if self.number(out.exchange).is_some_and(|n| n != destination) {
             self.destinations.entry(destination).or_default().tandem = Some(out.exchange);
-            self.through[out.advised] += THROUGH_GAIN * (1.0 - self.through[out.advised]);
+            self.through[out.advised] += SHARE_GAIN * (1.0 - self.through[out.advised]);
         }
     }
 
@@ -889,6 +885,7 @@
             }
             match (outcome, cause) {
                 (Outcome::Failed, Cause::NumberBusy) => self.found_crowded(now, dialled),
+                (Outcome::Failed, Cause::Untold) => self.faulted(out.exchange, 1.0),
                 // Less than the call's width is free, whatever was believed, until told otherwise.
                 (Outcome::NotSent, Cause::NoCircuit) => self.group_mut(out.exchange).free = width - 1.0,
                 _ => {}
@@ -896,25 +893,24 @@
             if self.number(out.exchange).is_some_and(|n| n != destination) {
                 self.destinations.entry(destination).or_default().tandem = None;
                 self.through[out.advised] -=
-                    if rejected { THROUGH_GAIN * self.through[out.advised] } else { 0.0 };
+                    if rejected { SHARE_GAIN * self.through[out.advised] } else { 0.0 };
             }
         }
-        let Some(call) = self.calls.get(&id) else { return };
+        let fault = (outcome, cause) == (Outcome::Failed, Cause::Untold);
+        let fault = fault && self.exchanges.get(&out.exchange).is_some_and(|x| x.faults > FAULTY);
+        let Some(call) = self.calls.get_mut(&id) else { return };
         if call.over {
             return self.forget_if_over(id);
         }
+        // A fault or a connection that broke is no reason to leave the route.
+        call.tried.retain(|x| *x != out.exchange || !fault && outcome != Outcome::Cut);
         if call.may_have_run && !self.set.classes[call.new.class].repeatable {
-            return self.answer(id, false, actions);
+            return self.answer(now, id, false, actions);
         }
         let own_down = outcome == Outcome::NotSent && matches!(cause, Cause::ProcessorFull(_));
-        if stood || own_down || outcome == Outcome::Failed {
-            return self.answer(id, true, actions);
+        if stood || own_down || outcome == Outcome::Failed && !fault {
+            return self.answer(now, id, true, actions);
         }
         self.look(now, id, actions);
     }
 }
-
-/// Circuit-seconds that a call of a class takes of each group.
-fn circuit_seconds(class: &Class) -> f64 {
-    f64::from(class.width) * secs(class.hold).max(1e-3)
-}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -584,6 +584,50 @@
     assert!(actions.contains(&Action::Fail(id)), "{actions:?}");
 }
 
+/// Calls were once given up at the first fault, when an exchange failed three of four set-ups at once.
+#[test]
+fn a_fault_is_tried_again_where_others_meet_it_too() {
+    let mut rig = Rig::new(settings());
+    let fault = (Outcome::Failed, Cause::Untold);
+    let fails = |rig: &mut Rig| {
+        let (call, _) = rig.dial(1);
+        rig.wait(20 * MS);
+        (call, rig.ended(call, 0, 1, fault))
+    };
+    let (call, actions) = fails(&mut rig);
+    assert_eq!(answers(&actions, call), 1, "one fault may be the call's own");
+    fails(&mut rig);
+    let (call, actions) = fails(&mut rig);
+    assert_eq!(sent_to(&actions), Some(1), "the exchange is at fault");
+    assert_eq!(answers(&rig.ended(call, 1, 1, (Outcome::Failed, Cause::NumberBusy)), call), 1);
+    (0..20).for_each(|_| rig.round_trip(1, 20 * MS));
+    let (call, actions) = fails(&mut rig);
+    assert_eq!(answers(&actions, call), 1, "it is sound again");
+}
+
+/// Callers refused without a word came back after a second or more, too late to be in time.
+#[test]
+fn a_refused_caller_is_told_when_to_come_back() {
+    let pause = |rig: &mut Rig| match rig.dial(1).1.last() {
+        Some(Action::Refuse { pause, .. }) => *pause,
+        other => panic!("refused: {other:?}"),
+    };
+    for (most, early, late) in [(None, 0, 0), (Some(SEC), 300 * MS, SEC), (Some(5 * SEC), 300 * MS, 2 * SEC)]
+    {
+        let mut rig = Rig::new(Settings { max_pause: most, ..settings() });
+        rig.tell(Event::List(ListKind::Changes, vec![Entry { standing: Standing::Draining, ..up(1) }]));
+        assert_eq!(pause(&mut rig), early);
+        let mut call = rig.fresh(1);
+        call.dialled = Some(7);
+        rig.offer(call.clone());
+        rig.wait(2 * SEC);
+        let again = NewCall { call: call.call + 1, deadline: rig.now + SEC, ..call };
+        let actions = rig.offer(again);
+        let refused = Action::Refuse { call: call.call + 1, pause: late };
+        assert_eq!(actions.last(), Some(&refused), "it can only be late by now");
+    }
+}
+
 #[test]
 fn the_list_is_asked_for_where_it_is_not_pushed() {
     let mut set = settings();
