--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -167,7 +167,8 @@
     // From callers
     // -----------------------------------------------------------------------------------------------------
 
-    /// Takes in what a caller said on a connection. False: a set-up that is not one to be served.
+    /// Takes in what a caller said on a connection. False: a set-up that is not one to be served, or a release
+    /// of a call that is not known.
     pub fn from_caller(&mut self, now: Nanos, link: CallerLink, said: FromCaller<'_>) -> bool {
         match said {
             FromCaller::SetUp(set_up) => self.set_up(now, link, &set_up),
@@ -178,10 +179,7 @@
                 }
                 false
             }
-            FromCaller::Release { id, cause } => {
-                self.let_go(now, id, cause);
-                true
-            }
+            FromCaller::Release { id, cause } => self.let_go(now, id, cause),
         }
     }
 
@@ -280,15 +278,18 @@
     }
 
     /// A caller gives its set-up up, or releases a call that stands.
-    fn let_go(&mut self, now: Nanos, id: u64, cause: u8) {
+    fn let_go(&mut self, now: Nanos, id: u64, cause: u8) -> bool {
         let Some(call) = self.table.get(&id) else {
             // A call of before this program started, which some exchange still holds. What only crosses the
             // end of a call here is known and goes nowhere.
-            if !self.over.knows(id) {
+            let unknown = !self.over.knows(id);
+            if unknown {
                 self.counters.up("taken releases of unknown calls");
-                self.release_everywhere(id, cause);
+                self.remember(now, id, true);
+                let to: Vec<ExchangeId> = self.directory.machines().map(|(id, _)| id).collect();
+                to.into_iter().for_each(|to| self.say_exchange(to, id, ToExchange::ReleaseUnknown(cause)));
             }
-            return;
+            return !unknown;
         };
         if call.owed {
             self.counters.up("taken set-ups given up");
@@ -298,11 +299,7 @@
             self.say_exchange(stood.exchange, id, ToExchange::Release(cause));
             self.over_standing(now, id, Outcome::CalledOff);
         }
-    }
-
-    fn release_everywhere(&mut self, id: u64, cause: u8) {
-        let to: Vec<ExchangeId> = self.directory.machines().map(|(id, _)| id).collect();
-        to.into_iter().for_each(|to| self.say_exchange(to, id, ToExchange::Release(cause)));
+        true
     }
 
     /// The caller has left, or the answer is given without the module. `for_good`: the id may not come again.
@@ -462,8 +459,9 @@
     pub fn due(&mut self, now: Nanos, due: Due) {
         match due {
             Due::Module(token) => self.tell(now, Event::Timer(token)),
-            Due::Attempt(id, attempt) => {
-                if self.table.get(&id).and_then(|c| c.out).is_some_and(|o| o.attempt == attempt) {
+            Due::Attempt(id, handle, attempt) => {
+                let call = self.table.get(&id).filter(|c| c.handle == handle);
+                if call.and_then(|c| c.out).is_some_and(|o| o.attempt == attempt) {
                     self.counters.up("errors attempts timed out");
                     self.give_up(now, id, Outcome::TimedOut);
                 }
@@ -590,7 +588,7 @@
             description: call.description.clone(),
         };
         self.counters.up("sent set-ups");
-        self.deadlines.add(until, Due::Attempt(id, attempt));
+        self.deadlines.add(until, Due::Attempt(id, handle, attempt));
         self.say_exchange(to, id, say);
     }
 
--- a/dillhold/src/call/words.rs
+++ b/dillhold/src/call/words.rs
@@ -153,6 +153,8 @@
     },
     /// The call that stands is released.
     Release(u8),
+    /// A call that this program does not know is released, if it stands there.
+    ReleaseUnknown(u8),
 }
 
 /// What can be due.
@@ -161,7 +163,7 @@
     /// A timer of the module.
     Module(u64),
     /// An attempt's time is up.
-    Attempt(u64, u32),
+    Attempt(u64, CallId, u32),
     /// A call's last moment for an answer.
     Answer(u64, CallId),
     /// A machine that is gone has had its last words.
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -18,8 +18,9 @@
 const UNHEARD_KEPT: usize = 1024;
 const UNHEARD_FOR: Nanos = 1_000 * MS;
 
-/// Messages that cannot be served after which a connection is closed.
-const MOST_FAULTS: u32 = 100;
+/// Messages that cannot be served after which a connection is closed. Soon after a start callers release calls
+/// of before it, which are not known here either.
+const MOST_FAULTS: u32 = 250;
 /// Longest number called; bytes that a set-up takes in SIP beside number and description.
 const MOST_NUMBER: usize = 128;
 const SIP_HEAD: usize = 512;
@@ -60,7 +61,8 @@
                 }
                 kind::RELEASE => {
                     let (id, cause) = (message.call, message.cause().unwrap_or(16));
-                    calls.from_caller(now, link, FromCaller::Release { id, cause });
+                    let known = calls.from_caller(now, link, FromCaller::Release { id, cause });
+                    *faults += u32::from(!known);
                 }
                 kind::TEST => {
                     calls.counters.up("answered tests");
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -84,6 +84,9 @@
                     request_line(out, "CANCEL", "sip:call@net", id, attempt + 1, format_args!(""), b"");
                 }
             }
+            // Anybody can name calls that do not exist: what is said of them must not crowd out the rest.
+            ToExchange::ReleaseUnknown(_) if self.outbox.pending().len() > WAITING / 2 => {}
+            ToExchange::ReleaseUnknown(cause) => self.write_release(id, *cause),
             ToExchange::Release(cause) => {
                 self.write_release(id, *cause);
                 if self.unheard.len() >= UNHEARD_KEPT {
