Replace a connection to an exchange that falls silent after a set-up

Traced: of six connections to exchanges three fell silent for good and stayed open (one from 5.9 s on: 82 set-ups, no answer in 20 s). Their set-ups waited for their deadlines, the route then counted as failed, and the releases of what stood there came on no other connection, for none was opened. Ruled out: the machine (others reached it at the same time), lost set-ups (acknowledged), load.

At fault: net, which took a connection for good until its end was told. Now one on which nothing comes for 200 ms after a set-up is closed and made anew; the next is given twice as long, up to sixteen times, until something comes.

The new test fails without it.

--- a/dillhold/src/call/words.rs
+++ b/dillhold/src/call/words.rs
@@ -181,6 +181,8 @@
     Connect(u64),
     /// A message that came half on this connection of an exchange must be whole.
     Half(ExchangeId, u64),
+    /// Something must have come on this connection of an exchange since a set-up was sent there.
+    Silent(ExchangeId, u64),
     /// An exchange is connected to again.
     Redial(ExchangeId),
     /// The journal is asked again.
--- a/dillhold/src/net/exchanges.rs
+++ b/dillhold/src/net/exchanges.rs
@@ -20,6 +20,13 @@
 /// A message that does not become whole for so long never will, and nothing that follows it can be read.
 pub const HALF: Nanos = 500 * MS;
 
+/// A connection on which nothing at all comes for so long after a set-up is dead, however open it looks: an
+/// exchange tells the state of the group at once, even while its processor answers nothing. Each time that a
+/// new connection stays as silent the next one is given twice as long, for then it is the exchange.
+const SILENT: Nanos = 200 * MS;
+/// So many times at the most.
+const PATIENCE: u32 = 4;
+
 /// The link to an exchange, across its connections.
 pub struct Link {
     pub session: Exchange,
@@ -32,6 +39,16 @@
     pub up_at: Nanos,
     /// A redial is among the deadlines.
     pub redial: bool,
+    /// When the first set-up was sent since anything came, and connections in a row that stayed silent.
+    unheard_since: Option<Nanos>,
+    silent: u32,
+}
+
+impl Link {
+    /// Something came.
+    pub fn heard(&mut self) {
+        (self.unheard_since, self.silent) = (None, 0);
+    }
 }
 
 impl Driver {
@@ -58,6 +75,8 @@
                     refused_at: 0,
                     up_at: 0,
                     redial: false,
+                    unheard_since: None,
+                    silent: 0,
                 });
                 self.connect(id);
             }
@@ -82,7 +101,7 @@
 
     pub(super) fn link_lost(&mut self, id: ExchangeId, unmade: bool, refused: bool) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        link.conn = None;
+        (link.conn, link.unheard_since) = (None, None);
         let unsent = link.session.lost();
         if !refused {
             link.refused = 0;
@@ -104,6 +123,25 @@
         }
     }
 
+    /// A set-up goes out on a connection that is up: something has to come back.
+    pub(super) fn listen_for(&mut self, id: ExchangeId) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if let (Some(token), None) = (link.conn, link.unheard_since) {
+            link.unheard_since = Some(self.now);
+            let due = Due::Link(LinkDue::Silent(id, token));
+            self.calls.deadlines.add(self.now + (SILENT << link.silent), due);
+        }
+    }
+
+    pub(super) fn silent_due(&mut self, id: ExchangeId, token: u64) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.conn == Some(token)) else { return };
+        if link.unheard_since.is_some_and(|since| self.now >= since + (SILENT << link.silent)) {
+            link.silent = (link.silent + 1).min(PATIENCE);
+            self.calls.counters.up("closed exchanges that stayed silent");
+            self.close(token);
+        }
+    }
+
     pub(super) fn half_due(&mut self, id: ExchangeId, token: u64) {
         let link = self.links.get(&id).filter(|l| l.conn == Some(token));
         if link.and_then(|l| l.session.half).is_some_and(|since| self.now >= since + HALF) {
@@ -127,6 +165,9 @@
         match conn {
             Some(token) => {
                 self.touched.insert(token);
+                if matches!(say, ToExchange::SetUp { .. }) && self.is_up(token) {
+                    self.listen_for(to);
+                }
             }
             None => self.connect(to),
         }
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -268,6 +268,10 @@
         self.conns.get(&token).is_some_and(|c| matches!(c.peer, Peer::Caller(_)))
     }
 
+    fn is_up(&self, token: u64) -> bool {
+        self.conns.get(&token).is_some_and(|c| !c.connecting)
+    }
+
     fn pending(&self, token: u64) -> usize {
         match self.conns.get(&token).map(|c| &c.peer) {
             Some(Peer::Caller(caller)) => caller.outbox.pending().len(),
@@ -295,9 +299,12 @@
     }
 
     fn up(&mut self, token: u64) {
-        if let Some(Peer::Exchange(id)) = self.conns.get(&token).map(|c| &c.peer) {
-            if let Some(link) = self.links.get_mut(id) {
+        if let Some(&Peer::Exchange(id)) = self.conns.get(&token).map(|c| &c.peer) {
+            if let Some(link) = self.links.get_mut(&id) {
                 (link.refused, link.up_at) = (0, self.now);
+                if link.session.holds_set_ups() {
+                    self.listen_for(id);
+                }
             }
             self.touched.insert(token);
             self.calls.counters.up("sent exchange connections");
@@ -340,6 +347,7 @@
             Peer::Caller(caller) => caller.feed(self.now, token, &mut self.calls).is_ok(),
             Peer::Exchange(id) => match self.links.get_mut(id) {
                 Some(link) => {
+                    link.heard();
                     let before = link.session.half;
                     let readable = link.session.feed(self.now, *id, &mut self.calls).is_ok();
                     if link.session.half.is_some() && link.session.half != before {
@@ -463,6 +471,7 @@
                 }
             }
             LinkDue::Half(id, token) => self.half_due(id, token),
+            LinkDue::Silent(id, token) => self.silent_due(id, token),
             LinkDue::Redial(id) => {
                 if let Some(link) = self.links.get_mut(&id) {
                     link.redial = false;
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -119,9 +119,9 @@
         self.outbox.take_back(|_| true)
     }
 
-    /// Whether releases still have to be heard.
-    pub fn owes(&self) -> bool {
-        !self.unheard.is_empty()
+    /// Whether set-ups wait to be written.
+    pub fn holds_set_ups(&self) -> bool {
+        self.outbox.marked()
     }
 }
 
--- a/dillhold/src/session/mod.rs
+++ b/dillhold/src/session/mod.rs
@@ -98,6 +98,11 @@
         self.bytes.capacity()
     }
 
+    /// Whether a marked stretch has not left whole.
+    pub fn marked(&self) -> bool {
+        !self.marks.is_empty()
+    }
+
     /// What has to be written next.
     pub fn pending(&self) -> &[u8] {
         &self.bytes[self.written..]
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -171,6 +171,23 @@
     assert_eq!(caller.told(), (9, 21, 0, b"whole".to_vec()));
 }
 
+/// A connection that stays open and says nothing any more once swallowed every set-up to its exchange, and the
+/// releases of what stood there.
+#[test]
+fn a_connection_that_falls_silent_is_replaced() {
+    let (_program, mut caller, mut silent, _, sockets) = scene("silent");
+    stand(&mut caller, &mut silent, 22);
+    caller.set_up(23);
+    silent.sip("INVITE ");
+    let mut again = accept(&sockets[1]);
+    again.say_sip("BYE sip:x@net SIP/2.0", 22, (2, "BYE"), "Reason: Q.850;cause=16\r\n", b"");
+    again.sip("SIP/2.0 200 ");
+    assert_eq!(caller.told(), (12, 22, 16, vec![]));
+    assert_eq!(again.sip("INVITE ").0, 23);
+    again.say_sip("SIP/2.0 200 OK", 23, (2, "INVITE"), "", b"v");
+    assert_eq!(caller.told(), (9, 23, 0, b"v".to_vec()));
+}
+
 #[test]
 fn a_half_closed_caller_still_gets_its_answer() {
     let (_program, mut caller, mut exchange, _, _l) = scene("half");
