Queue a crowd of connections, and send nothing new to an exchange that is not understood

Traced since: about 380 calls that stood when a controller was restarted ended with no word from their exchange.

What was queued for an exchange in the turn in which its bytes became unreadable went out on that connection and counted as possibly run; it is now taken back as never sent.

--- a/dillhold/src/net/callers.rs
+++ b/dillhold/src/net/callers.rs
@@ -11,7 +11,7 @@
 use crate::session::caller::Caller;
 
 /// Connections taken in within one turn; the others wait for the next.
-const ACCEPTS: usize = 128;
+const ACCEPTS: usize = 256;
 /// A connection that was told nothing within this time is closed, unless a set-up is open on it: whoever sends
 /// nothing, or nothing that can be answered, is owed a word or a close within 3 s.
 const NO_WORD: Nanos = 2_500 * MS;
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -44,6 +44,9 @@
 /// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
 /// All callers together stay within the memory that the program may have.
 const SLOW: [usize; 2] = [32 * 1024, 256 * 1024];
+/// Connections that wait to be let in; the system has a bound of its own. Past it the system drops what comes,
+/// and a caller that meets a crowd tries again a second later, when its call is too late.
+const BACKLOG: i32 = 4096;
 /// Reads of one connection in a turn, by whether a caller is at its other end. Epoll tells again of what is left.
 const READS: [usize; 2] = [16, 4];
 
@@ -93,6 +96,7 @@
 
 fn listen(epoll: &std::os::fd::OwnedFd, at: SocketAddr) -> Result<TcpListener, String> {
     let listener = TcpListener::bind(at).map_err(text("listen"))?;
+    rustix::net::listen(&listener, BACKLOG).map_err(|e| format!("listen: {e}"))?;
     listener.set_nonblocking(true).map_err(text("listen"))?;
     watch(epoll, listener.as_fd(), LISTENER)?;
     Ok(listener)
@@ -299,6 +303,7 @@
     }
 
     fn up(&mut self, token: u64) {
+        self.touched.insert(token);
         if let Some(&Peer::Exchange(id)) = self.conns.get(&token).map(|c| &c.peer) {
             if let Some(link) = self.links.get_mut(&id) {
                 (link.refused, link.up_at) = (0, self.now);
@@ -306,7 +311,6 @@
                     self.listen_for(id);
                 }
             }
-            self.touched.insert(token);
             self.calls.counters.up("sent exchange connections");
         }
     }
@@ -330,11 +334,14 @@
                 Err(_) => return self.lost(token, false),
             }
             conn.read = self.now;
-            // A panic costs the connection that it came from. What was answered before goes out first.
+            // A panic costs the connection that it came from. What a caller was answered before goes out first;
+            // to an exchange that is not understood any more nothing new is sent.
             if !catch_unwind(AssertUnwindSafe(|| self.feed(token))).unwrap_or(false) {
                 self.calls.counters.up("errors unreadable");
-                self.carry_out();
-                self.flush(token);
+                if self.caller(token) {
+                    self.carry_out();
+                    self.flush(token);
+                }
                 return self.lost(token, false);
             }
         }
--- a/dillhold/tests/callers.rs
+++ b/dillhold/tests/callers.rs
@@ -44,6 +44,22 @@
     assert_eq!(caller.told(), (12, 1, 16, vec![]));
 }
 
+/// Past 128 connections that waited to be let in, callers once had to try again a second later.
+#[test]
+fn a_crowd_waits_to_be_let_in() {
+    let (program, mut caller, mut exchange, _sockets) = scene("crowd");
+    program.signal("-STOP");
+    let soon = std::time::Duration::from_secs(10);
+    // Each that had to try again would take a second or more, and they come one after the other.
+    let begun = std::time::Instant::now();
+    let crowd = (0..200).map(|_| std::net::TcpStream::connect_timeout(&program.listen, soon).unwrap());
+    let crowd: Vec<_> = crowd.collect();
+    assert!(begun.elapsed() < soon, "none was dropped");
+    program.signal("-CONT");
+    drop(crowd);
+    stand(&mut caller, &mut exchange, 2);
+}
+
 /// Releases once went to the newest connection, which may be that of somebody who will never listen.
 #[test]
 fn a_release_without_its_connection_goes_to_one_that_had_a_call() {
