Try a closed route again after five aims, so that no late first answer closes it for good

The first answers on the new routes came 0.9 s late and became their least round trip, over the aim of 0.34 s. An idle route is predicted at its least times rho, so from then on nothing was sent, nothing was answered, and one of three controllers refused nearly all calls until the end.

Change: on a route that nothing was sent on for five longest aims the least round trip is taken for half an aim at the most, so a real call tries it. Rho still multiplies it: only what one answer alone claims is doubted, not the load. A try that is late or silent closes the route for five aims again, which costs one call in five aims and route; towards hung nodes the elapsed time of that call closes it as before, towards cold ones the cold gap still holds. `typical` follows the answers that come.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,10 @@
 /// Routes kept for each exchange listed: the direct one and the tandems that carry most of what is blocked.
 /// When the table is full, the half that has been unused longest is forgotten.
 const ROUTES_KEPT: usize = 24;
+/// Longest aims after which a route that nothing was sent on is tried again, and the share of an aim that its
+/// least round trip is then taken for at the most.
+const UNTRIED_AIMS: f64 = 5.0;
+const UNTRIED_LEAST: f64 = 0.5;
 /// Multiples of the aim that a full, turned-back or timed-out set-up counts for as a round trip.
 const FAILED_AIMS: f64 = 2.0;
 /// One busy route in so many takes rho times its least or less.
@@ -116,6 +120,8 @@
     out: f64,
     /// The least round trip, in seconds, taken for a route that has none yet.
     typical: f64,
+    /// The longest aim, in seconds.
+    aim: f64,
 }
 
 /// What is remembered of one route.
@@ -141,10 +147,19 @@
         self.last.filter(|l| secs(now - l.at) < (l.took * rho).min(l.valid))
     }
 
+    /// The least round trip in seconds, as far as it may be trusted. Only an answer lowers it: a first answer
+    /// that came late after a hang once closed its route for good, for nothing was sent to be answered sooner.
+    /// So on a route that nothing was sent on for long a call tries again. The load keeps its say.
+    fn trusted_least(&self, now: Nanos, load: Load) -> f64 {
+        let untried = secs(now - self.used) > UNTRIED_AIMS * load.aim;
+        let most = if untried { UNTRIED_LEAST * load.aim } else { f64::INFINITY };
+        self.least.unwrap_or(load.typical).min(most)
+    }
+
     /// Predicted time in seconds of a set-up sent now.
     fn predict(&self, now: Nanos, load: Load) -> f64 {
         let rho = load.rho;
-        let scaled = self.least.unwrap_or(load.typical) * rho;
+        let scaled = self.trusted_least(now, load) * rho;
         if let Some(sent) = self.waiting_since() {
             return secs(now - sent) + scaled; // state 2: a set-up is out
         }
@@ -542,7 +557,7 @@
             Shape::Mesh => vec![direct?],
         };
         let at = self.awake(now);
-        let load = Load { rho: self.rho(at), out: self.load(at), typical: self.typical };
+        let load = Load { rho: self.rho(at), out: self.load(at), typical: self.typical, aim: self.aim };
         let mut blocked = false;
         for x in candidates {
             let time = self.predict(at, self.exchanges[&x].number, x, load);
