Settle everything about connections in an engine without sockets and without the clock

Need: a whole controller has to run in a rehearsal, byte by byte and the same every time. What was settled about connections sat in `net`, among the sockets.

Change: `engine` is fed the time and what happened to connections, known as numbers, and gives out dial, close, listen, stop listening and stop; bytes are read into and written from the sessions' buffers without a copy. `net` keeps epoll, sockets and signals. Attempts that end together end in the order of their ids: the table's own order differed from run to run.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -405,7 +405,10 @@
     pub fn exchange_lost(&mut self, now: Nanos, exchange: ExchangeId, unsent: &[(u64, u32)]) {
         let here = |c: &Call| c.out.filter(|o| o.exchange == exchange);
         let out = self.table.iter().filter_map(|(id, c)| here(c).map(|o| (*id, o)));
-        for (id, out) in out.collect::<Vec<_>>() {
+        // In the order of ids: the table's own order differs from run to run.
+        let mut out: Vec<_> = out.collect();
+        out.sort_unstable_by_key(|(id, _)| *id);
+        for (id, out) in out {
             let came = if unsent.contains(&(id, out.attempt)) { Came::NeverSent } else { Came::Sent };
             self.attempt_lost(now, id, out.attempt, came);
         }
@@ -428,7 +431,9 @@
     pub fn exchange_ended(&mut self, now: Nanos, exchange: ExchangeId, before: Nanos) {
         let here = |c: &Call| c.stands.is_some_and(|s| s.exchange == exchange && s.sent < before);
         let stood = self.table.iter().filter(|(_, c)| here(c)).map(|(id, c)| (*id, c.link));
-        for (id, link) in stood.collect::<Vec<_>>() {
+        let mut stood: Vec<_> = stood.collect();
+        stood.sort_unstable();
+        for (id, link) in stood {
             self.counters.up("errors calls cut with their exchange");
             self.say(Some(link), id, ToCaller::Released(41));
             self.over_standing(now, id, Outcome::Cut);
@@ -442,6 +447,7 @@
     /// Takes in what the journal changed.
     pub fn news(&mut self, now: Nanos, news: News) {
         for (kind, entries) in news.lists {
+            tracing::info!(?kind, ?entries, "list of exchanges");
             self.counters.up("taken lists");
             for e in entries.iter().filter(|e| e.standing != Standing::Up) {
                 self.commands.push_back(Command::Withhold(e.exchange));
@@ -534,7 +540,7 @@
             Action::Refuse { call, pause } => self.final_answer(now, call, ToCaller::Refused(pause)),
             Action::Fail(call) => self.final_answer(now, call, ToCaller::Failed),
             Action::Timer(token, at) => self.deadlines.add(at, Due::Module(token)),
-            Action::Note(text) => eprintln!("note {text}"),
+            Action::Note(text) => tracing::info!(text, "note of the module"),
             // Probes are not allowed, and the journal is followed unasked.
             Action::Probe(_) | Action::Subscribe | Action::FetchList => {}
         }
@@ -543,6 +549,7 @@
     fn final_answer(&mut self, now: Nanos, handle: CallId, say: ToCaller) {
         let Some(id) = self.ids.get(&handle).copied() else { return };
         let Some(link) = self.table.get(&id).filter(|c| c.owed).map(|c| c.link) else { return };
+        tracing::debug!(call = format_args!("{id:016x}"), answer = ?say, "final answer");
         self.counters.up(if say == ToCaller::Failed { "answered failed" } else { "answered refused" });
         self.say(Some(link), id, say);
         self.answered(id);
@@ -578,6 +585,7 @@
                 report: Report::default(),
             });
         }
+        tracing::debug!(call = format_args!("{id:016x}"), attempt, exchange = to, "attempt");
         let until = now.saturating_add(timeout).min(call.deadline);
         call.out = Some(Out { exchange: to, attempt, sent: now });
         let say = ToExchange::SetUp {
--- a/dillhold/src/codec/sip.rs
+++ b/dillhold/src/codec/sip.rs
@@ -29,6 +29,12 @@
         header(self.head, &[name])
     }
 
+    /// The address in the first line of a request.
+    pub fn uri(&self) -> Option<&'a [u8]> {
+        let line = self.head.split(|b| *b == b'\r').next()?;
+        line.split(|b| *b == b' ').nth(1).filter(|_| matches!(self.start, Start::Request(_)))
+    }
+
     /// The call that `Call-ID` names.
     pub fn call(&self) -> Option<u64> {
         header(self.head, &["Call-ID", "i"]).and_then(call_id)
--- a/dillhold/src/net/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -1,17 +1,12 @@
 //! Connections from callers: who is let in, who has to make room, and by which of them a call's end is told.
 
-use std::io;
-
 use pitchgw::interface::Nanos;
 
-use super::conn::Peer;
-use super::Driver;
+use super::{ConnId, Engine, Peer};
 use crate::call::{CallerLink, Due, LinkDue, ToCaller};
 use crate::clock::MS;
 use crate::session::caller::Caller;
 
-/// Connections taken in within one turn; the others wait for the next.
-const ACCEPTS: usize = 256;
 /// A connection that was told nothing within this time is closed, unless a set-up is open on it: whoever sends
 /// nothing, or nothing that can be answered, is owed a word or a close within 3 s.
 const NO_WORD: Nanos = 2_500 * MS;
@@ -35,39 +30,28 @@
     undelivered: Vec<(Nanos, u64, u8)>,
 }
 
-impl Driver {
-    pub(super) fn accept(&mut self) {
-        for _ in 0..ACCEPTS {
-            let Some(listener) = &self.listener else { return };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(_) => {
-                    // Of descriptors run out, say: the next turn tries again, a tick later.
-                    self.calls.counters.up("errors accepting");
-                    return;
-                }
-            };
-            let full =
-                self.callers.count >= self.bounds.callers || self.conns.len() >= self.bounds.connections;
-            if full && !self.make_room() {
-                self.calls.counters.up("errors callers over the limit");
-                continue;
-            }
-            if let Some(token) = self.add(stream.into(), Peer::Caller(Caller::default()), false) {
-                self.callers.count += 1;
-                self.calls.counters.up("taken caller connections");
-                self.calls.deadlines.add(self.now + NO_WORD, Due::Link(LinkDue::Caller(token)));
-                self.deliver(None);
-            }
+impl Engine {
+    /// A caller connects. Tells the number of its connection, or that there is no room for it.
+    pub fn accepted(&mut self) -> Option<ConnId> {
+        let full = self.callers.count >= self.bounds.callers || self.conns.len() >= self.bounds.connections;
+        if full && !self.make_room() {
+            self.calls.counters.up("errors callers over the limit");
+            return None;
         }
+        let token = self.add(Peer::Caller(Caller::default()), false);
+        self.callers.count += 1;
+        self.calls.counters.up("taken caller connections");
+        self.calls.deadlines.add(self.now + NO_WORD, Due::Link(LinkDue::Caller(token)));
+        self.touched.insert(token);
+        self.deliver(None);
+        Some(token)
     }
 
     /// Closes the connection that is of least use: the oldest of those never told that a call stands, else the
     /// one that has been quiet for longest. One that bears a call, or has an answer still to be written, stays:
     /// closing it once cost callers their answers, and their releases went to strangers.
     fn make_room(&mut self) -> bool {
-        let free = |token: &u64| !self.calls.bears(*token) && self.pending(*token) == 0;
+        let free = |token: &u64| !self.calls.bears(*token) && self.pending(*token).is_empty();
         let callers = self.conns.iter().filter_map(|(token, conn)| match &conn.peer {
             Peer::Caller(caller) => {
                 Some((caller.proven, if caller.proven { caller.heard } else { 0 }, *token))
@@ -76,14 +60,15 @@
         });
         let least = callers.filter(|(.., token)| free(token)).min();
         if let Some((.., token)) = least {
+            tracing::debug!(conn = token, "caller closed to make room");
             self.calls.counters.up("closed callers to make room");
-            self.close(token);
+            self.lost(token);
         }
         least.is_some()
     }
 
     /// Looks at a connection from callers; one that is of no use is closed.
-    pub(super) fn caller_due(&mut self, token: u64) {
+    pub(super) fn caller_due(&mut self, token: ConnId) {
         let Some(conn) = self.conns.get(&token) else { return };
         let Peer::Caller(caller) = &conn.peer else { return };
         let since = |at: Nanos| self.now.saturating_sub(at);
@@ -96,20 +81,20 @@
                 (_, true) => "closed callers without a word",
                 _ => "closed callers idle",
             });
-            return self.close(token);
+            return self.lost(token);
         }
         self.calls.deadlines.add(self.now + LOOK, Due::Link(LinkDue::Caller(token)));
     }
 
     pub(super) fn say_caller(&mut self, link: Option<CallerLink>, id: u64, say: &ToCaller) {
-        let own = link.filter(|token| self.caller(*token));
+        let own = link.filter(|token| self.is_caller(*token));
         let token = match say {
             // What ends a call that stands may go to any caller, by the connection of its set-up first. To be
             // known as a caller's a connection must have been told of a call that stands: whoever only tests
             // or says nothing will hardly listen.
             ToCaller::Released(_) => {
-                let proven = |token: &u64| self.writable(*token, true);
-                own.filter(|t| self.writable(*t, false))
+                let proven = |token: &u64| self.can_hear(*token, true);
+                own.filter(|t| self.can_hear(*t, false))
                     .or_else(|| self.conns.keys().rev().copied().find(proven))
             }
             _ => own,
@@ -125,12 +110,12 @@
     }
 
     /// Whether a caller's connection can still be written to, and is known to be one if that is asked for.
-    fn writable(&self, token: u64, proven: bool) -> bool {
-        let conn = self.conns.get(&token).filter(|c| !c.ended);
+    fn can_hear(&self, token: ConnId, proven: bool) -> bool {
+        let conn = self.conns.get(&token).filter(|c| !c.ended && !c.spoilt);
         conn.is_some_and(|c| matches!(&c.peer, Peer::Caller(caller) if caller.proven || !proven))
     }
 
-    fn write_caller(&mut self, token: u64, id: u64, say: &ToCaller) {
+    fn write_caller(&mut self, token: ConnId, id: u64, say: &ToCaller) {
         let Some(Peer::Caller(caller)) = self.conns.get_mut(&token).map(|c| &mut c.peer) else { return };
         let first = !caller.proven;
         caller.say(self.now, id, say);
@@ -142,11 +127,11 @@
 
     /// Says the releases that waited for a connection: on this one, which is known to have a caller at its
     /// other end; those that have waited for long on any.
-    pub(super) fn deliver(&mut self, proven: Option<u64>) {
+    pub(super) fn deliver(&mut self, proven: Option<ConnId>) {
         if self.callers.undelivered.is_empty() {
             return;
         }
-        let any = || self.conns.keys().rev().copied().find(|token| self.writable(*token, false));
+        let any = || self.conns.keys().rev().copied().find(|token| self.can_hear(*token, false));
         let Some(token) = proven.or_else(any) else { return };
         let until = self.now;
         let waits = |since: Nanos| proven.is_none() && until < since + FOR_A_CALLER;
--- a/dillhold/src/net/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -5,8 +5,7 @@
 
 use pitchgw::interface::{ExchangeId, Nanos, Standing};
 
-use super::conn::Peer;
-use super::Driver;
+use super::{ConnId, Engine, Peer};
 use crate::call::{Came, Due, LinkDue, ToExchange};
 use crate::clock::MS;
 use crate::session::exchange::Exchange;
@@ -18,7 +17,7 @@
 const REFUSALS: u32 = 3;
 
 /// A message that does not become whole for so long never will, and nothing that follows it can be read.
-pub const HALF: Nanos = 500 * MS;
+const HALF: Nanos = 500 * MS;
 
 /// A connection on which nothing at all comes for so long after a set-up is dead, however open it looks: an
 /// exchange tells the state of the group at once, even while its processor answers nothing. Each time that a
@@ -31,14 +30,14 @@
 pub struct Link {
     pub session: Exchange,
     address: SocketAddr,
-    conn: Option<u64>,
+    conn: Option<ConnId>,
     /// Refusals in a row, and when the last was counted.
-    pub refused: u32,
+    refused: u32,
     refused_at: Nanos,
     /// When a connection last came up.
-    pub up_at: Nanos,
+    up_at: Nanos,
     /// A redial is among the deadlines.
-    pub redial: bool,
+    redial: bool,
     /// When the first set-up was sent since anything came, and connections in a row that stayed silent.
     unheard_since: Option<Nanos>,
     silent: u32,
@@ -46,12 +45,12 @@
 
 impl Link {
     /// Something came.
-    pub fn heard(&mut self) {
+    fn heard(&mut self) {
         (self.unheard_since, self.silent) = (None, 0);
     }
 }
 
-impl Driver {
+impl Engine {
     /// Brings the links in step with the list.
     pub(super) fn listed(&mut self) {
         let home = self.calls.told().module.home;
@@ -90,12 +89,43 @@
         }
     }
 
-    pub(super) fn connect(&mut self, id: ExchangeId) {
+    fn connect(&mut self, id: ExchangeId) {
         let Some(link) = self.links.get(&id).filter(|l| l.conn.is_none()) else { return };
         let dialled = self.dial(link.address, Peer::Exchange(id));
         match (dialled, self.links.get_mut(&id)) {
-            (Ok(token), Some(link)) => link.conn = Some(token),
-            (failed, _) => self.link_lost(id, true, failed == Err(true)),
+            (Some(token), Some(link)) => link.conn = Some(token),
+            _ => self.link_lost(id, true, false),
+        }
+    }
+
+    /// The connection to an exchange is up.
+    pub(super) fn exchange_up(&mut self, id: ExchangeId) {
+        if let Some(link) = self.links.get_mut(&id) {
+            (link.refused, link.up_at) = (0, self.now);
+            if link.session.holds_set_ups() {
+                self.listen_for(id);
+            }
+        }
+        tracing::info!(exchange = id, "exchange connected");
+        self.calls.counters.up("sent exchange connections");
+    }
+
+    /// Bytes came from an exchange; false if they cannot be read.
+    pub(super) fn exchange_said(&mut self, id: ExchangeId, token: ConnId) -> bool {
+        let Some(link) = self.links.get_mut(&id) else { return false };
+        link.heard();
+        let before = link.session.half;
+        let readable = link.session.feed(self.now, id, &mut self.calls).is_ok();
+        if link.session.half.is_some() && link.session.half != before {
+            self.calls.deadlines.add(self.now + HALF, Due::Link(LinkDue::Half(id, token)));
+        }
+        readable
+    }
+
+    pub(super) fn redial_due(&mut self, id: ExchangeId) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.redial = false;
+            self.connect(id);
         }
     }
 
@@ -124,7 +154,7 @@
     }
 
     /// A set-up goes out on a connection that is up: something has to come back.
-    pub(super) fn listen_for(&mut self, id: ExchangeId) {
+    fn listen_for(&mut self, id: ExchangeId) {
         let Some(link) = self.links.get_mut(&id) else { return };
         if let (Some(token), None) = (link.conn, link.unheard_since) {
             link.unheard_since = Some(self.now);
@@ -133,20 +163,21 @@
         }
     }
 
-    pub(super) fn silent_due(&mut self, id: ExchangeId, token: u64) {
+    pub(super) fn silent_due(&mut self, id: ExchangeId, token: ConnId) {
         let Some(link) = self.links.get_mut(&id).filter(|l| l.conn == Some(token)) else { return };
         if link.unheard_since.is_some_and(|since| self.now >= since + (SILENT << link.silent)) {
             link.silent = (link.silent + 1).min(PATIENCE);
+            tracing::warn!(conn = token, exchange = id, "exchange stayed silent after a set-up");
             self.calls.counters.up("closed exchanges that stayed silent");
-            self.close(token);
+            self.lost(token);
         }
     }
 
-    pub(super) fn half_due(&mut self, id: ExchangeId, token: u64) {
+    pub(super) fn half_due(&mut self, id: ExchangeId, token: ConnId) {
         let link = self.links.get(&id).filter(|l| l.conn == Some(token));
         if link.and_then(|l| l.session.half).is_some_and(|since| self.now >= since + HALF) {
             self.calls.counters.up("closed exchanges with half a message");
-            self.close(token);
+            self.lost(token);
         }
     }
 
--- a/dillhold/src/net/journal.rs
+++ b/dillhold/src/engine/journal.rs
@@ -4,8 +4,7 @@
 
 use pitchgw::interface::Nanos;
 
-use super::conn::Peer;
-use super::Driver;
+use super::{ConnId, Engine, Peer};
 use crate::call::{Due, LinkDue};
 use crate::clock::MS;
 use crate::directory;
@@ -20,7 +19,7 @@
 /// What is known of the journal service.
 pub struct Feed {
     address: SocketAddr,
-    conn: Option<u64>,
+    conn: Option<ConnId>,
     /// When it was last asked, and whether its answer is still to come.
     asked: Nanos,
     asking: bool,
@@ -33,13 +32,13 @@
     }
 }
 
-impl Driver {
+impl Engine {
     pub(super) fn ask_journal(&mut self) {
         if self.feed.asking {
             return; // a second question would never be caught up with
         }
         if self.feed.conn.is_none() {
-            self.feed.conn = self.dial(self.feed.address, Peer::Journal(Journal::default())).ok();
+            self.feed.conn = self.dial(self.feed.address, Peer::Journal(Journal::default()));
         }
         let (after, host, now) = (self.calls.directory.position, self.feed.address, self.now);
         let conn = self.feed.conn.and_then(|token| self.conns.get_mut(&token));
@@ -81,11 +80,11 @@
 
     /// The journal must have answered by now. One that is silent and stays open is left: its events are asked
     /// for again before they count as told.
-    pub(super) fn journal_due(&mut self, token: u64) {
+    pub(super) fn journal_due(&mut self, token: ConnId) {
         let overdue = self.feed.asking && self.now >= self.feed.asked + HOLD_MS * MS + OVERDUE;
         if overdue && self.feed.conn == Some(token) {
             self.calls.counters.up("errors journal silent");
-            self.close(token);
+            self.lost(token);
         }
     }
 
--- /dev/null
+++ b/dillhold/src/engine/mod.rs
@@ -0,0 +1,537 @@
+//! A whole call controller without a socket and without the system's clock.
+//!
+//! [`Engine`] is fed the time and what happened to connections, which it knows as numbers, and gives out what is
+//! to be done with sockets as [`Output`]s. Everything about connections is settled here: who is let in and who
+//! makes room, what silence and half messages mean, when an exchange is dialled again and the journal asked, how
+//! far an attempt had come when its connection failed, who is shed when memory is short, and the order of the
+//! end. Bytes are read straight into the sessions' buffers ([`Engine::room`], [`Engine::filled`]) and written
+//! straight from them ([`Engine::pending`], [`Engine::wrote`]).
+//!
+//! One turn of whoever embeds it:
+//!
+//! 1. [`Engine::begin`] with the time; then what happened, each by its own call;
+//! 2. [`Engine::sweep`], for what is due;
+//! 3. until [`Engine::settled`]: [`Engine::carry_out`], then all of [`Engine::poll_output`], then for each of
+//!    [`Engine::poll_write`] what can be written, and [`Engine::flushed`];
+//! 4. [`Engine::end_turn`].
+
+mod callers;
+mod exchanges;
+mod journal;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+use pitchgw::interface::{ExchangeId, Nanos};
+
+use crate::call::{Calls, Came, Command, Due, LinkDue, ToCaller};
+use crate::clock::MS;
+use crate::counters::Counters;
+use crate::directory::{Bounds, Config, Directory, Told};
+use crate::session::caller::Caller;
+use crate::session::journal::Journal;
+use crate::session::{Inbox, Outbox};
+use callers::Callers;
+use exchanges::Link;
+use journal::Feed;
+
+/// After the signal to end, new connections and set-ups keep coming for so long.
+const STILL_COMING: Nanos = 700 * MS;
+/// After the signal to end, nothing is waited for longer than the longest deadline of the classes, counted as
+/// the first of these where it is longer, and the second more.
+const LEAVE_AFTER: [Nanos; 2] = [3_000 * MS, 600 * MS];
+/// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
+/// All callers together stay within the memory that the program may have.
+const SLOW: [usize; 2] = [32 * 1024, 256 * 1024];
+
+/// A connection. Numbers are never used again.
+pub type ConnId = u64;
+/// The first number of a connection; those below are free for whoever embeds the engine.
+pub const FIRST_CONN: ConnId = 16;
+
+/// What is to be done with sockets, in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Connect. [`Engine::connected`] or [`Engine::unmade`] tells what came of it.
+    Dial {
+        /// The number that the connection has from now on.
+        conn: ConnId,
+        /// Where to.
+        to: SocketAddr,
+    },
+    /// Close at once; nothing more is told of this connection.
+    Close(ConnId),
+    /// Take callers at this address, and no more at another one.
+    Listen(SocketAddr),
+    /// Take in the callers that wait, and no more after these.
+    StopListening,
+    /// The end: nothing is left to be done.
+    Stop,
+}
+
+/// What a connection is to be watched for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Interest {
+    /// What comes is read.
+    pub reads: bool,
+    /// Something waits to be written.
+    pub writes: bool,
+}
+
+/// Who is at the other end.
+enum Peer {
+    /// Callers.
+    Caller(Caller),
+    /// An exchange; its session is with its link.
+    Exchange(ExchangeId),
+    /// The journal service.
+    Journal(Journal),
+}
+
+struct Conn {
+    peer: Peer,
+    /// It is not up yet.
+    connecting: bool,
+    /// The other side writes no more.
+    ended: bool,
+    /// What it sends cannot be read on: it is closed once what it was answered has been written.
+    spoilt: bool,
+    /// When it was opened, and when bytes last came.
+    opened: Nanos,
+    read: Nanos,
+    /// Bytes that its buffers take, as last counted.
+    held: usize,
+}
+
+/// A call controller. See the module's description for how it is driven.
+pub struct Engine {
+    now: Nanos,
+    calls: Calls,
+    bounds: Bounds,
+    conns: BTreeMap<ConnId, Conn>,
+    next_conn: ConnId,
+    /// Connections that may have something to write, or are to be watched for something else.
+    touched: BTreeSet<ConnId>,
+    outputs: VecDeque<Output>,
+    /// Bytes that the buffers of all connections take.
+    held: usize,
+    callers: Callers,
+    links: BTreeMap<ExchangeId, Link>,
+    feed: Feed,
+    listen: SocketAddr,
+    listening: bool,
+    ending: bool,
+    stopped: bool,
+}
+
+impl Engine {
+    /// A controller at its start: asks to listen, dials the exchanges that are known and asks the journal.
+    pub fn new(now: Nanos, config: Config, told: Told) -> Result<Engine, String> {
+        let bounds = config.limits.bounds();
+        let list = Directory::new(&config.settings);
+        let mut calls =
+            Calls::new(told, bounds, list).map_err(|e| format!("configuration: settings: {e}"))?;
+        let known = calls.directory.take(config.known);
+        calls.news(now, known.unwrap_or_else(|missing| missing.0));
+        let mut engine = Engine {
+            now,
+            calls,
+            bounds,
+            conns: BTreeMap::new(),
+            next_conn: FIRST_CONN,
+            touched: BTreeSet::new(),
+            outputs: VecDeque::from([Output::Listen(config.listen)]),
+            held: 0,
+            callers: Callers::default(),
+            links: BTreeMap::new(),
+            feed: Feed::new(config.journal),
+            listen: config.listen,
+            listening: true,
+            ending: false,
+            stopped: false,
+        };
+        engine.ask_journal();
+        engine.carry_out();
+        Ok(engine)
+    }
+
+    // -----------------------------------------------------------------------------------------------------
+    // The turn
+    // -----------------------------------------------------------------------------------------------------
+
+    /// A turn begins. All that happens within it happens at this time.
+    pub fn begin(&mut self, now: Nanos) {
+        self.now = now;
+    }
+
+    /// Turns that are closer together than this tell the module more often than it was promised.
+    pub fn tick(&self) -> Nanos {
+        self.calls.told().module.tick
+    }
+
+    /// When something is due next.
+    pub fn next_due(&self) -> Option<Nanos> {
+        self.calls.deadlines.first()
+    }
+
+    /// Carries out what is due. What has come in is told before: after a pause of this process an answer must
+    /// not lose against a time-out that only looks overdue.
+    pub fn sweep(&mut self) {
+        for due in self.calls.deadlines.sweep(self.now) {
+            match due {
+                Due::Link(due) => self.link_due(due),
+                due => self.calls.due(self.now, due),
+            }
+        }
+    }
+
+    /// The next thing to be done with a socket.
+    pub fn poll_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// The next connection that may have something to write. [`Engine::flushed`] has to follow.
+    pub fn poll_write(&mut self) -> Option<ConnId> {
+        self.touched.pop_first()
+    }
+
+    /// Whether nothing is left to be done in this turn. What the writing has failed is carried out and written
+    /// in the same turn too: nothing else may wake it.
+    pub fn settled(&self) -> bool {
+        self.calls.settled() && self.outputs.is_empty() && self.touched.is_empty()
+    }
+
+    /// A turn ends. After the signal to end the last one gives [`Output::Stop`].
+    pub fn end_turn(&mut self) {
+        let written = || self.conns.keys().all(|t| self.pending(*t).is_empty() || !self.is_caller(*t));
+        if self.ending && !self.listening && self.calls.open() == 0 && written() {
+            self.stop();
+        }
+    }
+
+    fn stop(&mut self) {
+        if !self.stopped {
+            self.stopped = true;
+            self.outputs.push_back(Output::Stop);
+        }
+    }
+
+    /// The signal to end: goes on serving for a while, then takes no more callers and stops once no set-up is
+    /// open, at the latest some time after the longest deadline.
+    pub fn end(&mut self) {
+        if !self.ending {
+            tracing::info!(open = self.calls.open(), "told to end");
+            self.ending = true;
+            self.calls.deadlines.add(self.now + STILL_COMING, Due::Link(LinkDue::StopListening));
+            let longest = self.calls.told().module.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+            let leave = self.now + longest.min(LEAVE_AFTER[0]) + LEAVE_AFTER[1];
+            self.calls.deadlines.add(leave, Due::Link(LinkDue::Leave));
+        }
+    }
+
+    /// Whether this configuration can take the place of the present one while calls are open and stand.
+    pub fn admits(&self, told: &Told) -> bool {
+        self.calls.admits(told)
+    }
+
+    /// Goes on with another configuration, which [`Engine::admits`] has let through. Calls and connections stay.
+    pub fn reconfigure(&mut self, config: Config, told: Told) {
+        if config.listen != self.listen && self.listening {
+            self.listen = config.listen;
+            self.outputs.push_back(Output::Listen(config.listen));
+        }
+        self.bounds = config.limits.bounds();
+        self.calls.reconfigure(told, self.bounds, &config.settings);
+        let known = self.calls.directory.take(config.known);
+        self.calls.news(self.now, known.unwrap_or_else(|missing| missing.0));
+        self.move_journal(config.journal);
+        tracing::info!("configuration applied");
+        self.calls.counters.up("taken configurations");
+    }
+
+    /// All counts so far.
+    pub fn counters(&self) -> &Counters {
+        &self.calls.counters
+    }
+
+    /// Counts an error of the sockets'.
+    pub fn count(&mut self, name: &'static str) {
+        self.calls.counters.up(name);
+    }
+
+    // -----------------------------------------------------------------------------------------------------
+    // What happens to connections
+    // -----------------------------------------------------------------------------------------------------
+
+    fn add(&mut self, peer: Peer, connecting: bool) -> ConnId {
+        let token = self.next_conn;
+        self.next_conn += 1;
+        let (opened, read) = (self.now, self.now);
+        self.conns
+            .insert(token, Conn { peer, connecting, ended: false, spoilt: false, opened, read, held: 0 });
+        token
+    }
+
+    /// Starts a connection, if there is room for one more.
+    fn dial(&mut self, to: SocketAddr, peer: Peer) -> Option<ConnId> {
+        if self.conns.len() >= self.bounds.connections {
+            self.calls.counters.up("errors connections over the limit");
+            return None;
+        }
+        let conn = self.add(peer, true);
+        self.outputs.push_back(Output::Dial { conn, to });
+        let until = self.now + self.calls.told().connect_timeout;
+        self.calls.deadlines.add(until, Due::Link(LinkDue::Connect(conn)));
+        Some(conn)
+    }
+
+    fn is_caller(&self, token: ConnId) -> bool {
+        self.conns.get(&token).is_some_and(|c| matches!(c.peer, Peer::Caller(_)))
+    }
+
+    fn is_up(&self, token: ConnId) -> bool {
+        self.conns.get(&token).is_some_and(|c| !c.connecting)
+    }
+
+    /// The buffers of a connection.
+    fn buffers(&mut self, token: ConnId) -> Option<(&mut Inbox, &mut Outbox)> {
+        Some(match &mut self.conns.get_mut(&token)?.peer {
+            Peer::Caller(caller) => (&mut caller.inbox, &mut caller.outbox),
+            Peer::Journal(journal) => (&mut journal.inbox, &mut journal.outbox),
+            Peer::Exchange(id) => {
+                let session = &mut self.links.get_mut(id)?.session;
+                (&mut session.inbox, &mut session.outbox)
+            }
+        })
+    }
+
+    /// A connection that was dialled is up.
+    pub fn connected(&mut self, token: ConnId) {
+        let Some(conn) = self.conns.get_mut(&token) else { return };
+        conn.connecting = false;
+        self.touched.insert(token);
+        if let Peer::Exchange(id) = conn.peer {
+            self.exchange_up(id);
+        }
+    }
+
+    /// A connection that was dialled did not come up. `refused`: nothing listens there, so nothing ran.
+    pub fn unmade(&mut self, token: ConnId, refused: bool) {
+        self.fail(token, true, refused);
+    }
+
+    /// A connection is gone.
+    pub fn lost(&mut self, token: ConnId) {
+        self.fail(token, false, false);
+    }
+
+    /// Both directions of a connection are closed. One that only waited to be written to is gone.
+    pub fn hung_up(&mut self, token: ConnId) {
+        if self.conns.get(&token).is_some_and(|c| c.ended) {
+            self.lost(token);
+        }
+    }
+
+    /// A connection can be written to again.
+    pub fn writable(&mut self, token: ConnId) {
+        if self.is_up(token) {
+            self.touched.insert(token);
+        }
+    }
+
+    /// Where the next bytes that come on a connection go; `None`: it is not read from any more.
+    pub fn room(&mut self, token: ConnId) -> Option<&mut [u8]> {
+        self.conns.get(&token).filter(|c| !c.ended && !c.spoilt && !c.connecting)?;
+        Some(self.buffers(token)?.0.room())
+    }
+
+    /// So many bytes came and were put there.
+    pub fn filled(&mut self, token: ConnId, count: usize) {
+        let now = self.now;
+        let Some((inbox, _)) = self.buffers(token) else { return };
+        inbox.filled(count);
+        if let Some(conn) = self.conns.get_mut(&token) {
+            conn.read = now;
+        }
+        self.touched.insert(token);
+        // A panic costs the connection that it came from. What a caller was answered before goes out first; to
+        // an exchange that is not understood any more nothing new is sent.
+        if catch_unwind(AssertUnwindSafe(|| self.take_in(token))).unwrap_or(false) {
+            return;
+        }
+        self.calls.counters.up("errors unreadable");
+        match self.conns.get_mut(&token) {
+            Some(conn) if matches!(conn.peer, Peer::Caller(_)) => conn.spoilt = true,
+            _ => self.lost(token),
+        }
+    }
+
+    /// Lets a session take in what was read; false if its connection has to be closed.
+    fn take_in(&mut self, token: ConnId) -> bool {
+        let Some(conn) = self.conns.get_mut(&token) else { return true };
+        match &mut conn.peer {
+            Peer::Caller(caller) => caller.feed(self.now, token, &mut self.calls).is_ok(),
+            Peer::Exchange(id) => {
+                let id = *id;
+                self.exchange_said(id, token)
+            }
+            Peer::Journal(journal) => match journal.feed() {
+                Ok(None) => true,
+                Ok(Some((answer, kept))) => {
+                    self.journal_answered(answer, kept);
+                    true
+                }
+                Err(_) => false,
+            },
+        }
+    }
+
+    /// The other side writes no more. A caller may still read the answers it is owed.
+    pub fn read_ended(&mut self, token: ConnId) {
+        let owed = self.calls.open_on(token) || !self.pending(token).is_empty();
+        match self.conns.get_mut(&token) {
+            Some(conn) if matches!(conn.peer, Peer::Caller(_)) && owed => {
+                conn.ended = true;
+                self.touched.insert(token);
+            }
+            _ => self.lost(token),
+        }
+    }
+
+    fn fail(&mut self, token: ConnId, unmade: bool, refused: bool) {
+        let Some(conn) = self.forget(token) else { return };
+        match conn.peer {
+            Peer::Caller(caller) => {
+                self.callers.count -= 1;
+                self.calls.caller_lost(self.now, token);
+                let unfinished = caller.lost(self.now);
+                for id in unfinished.answers {
+                    self.calls.answer_lost(self.now, id);
+                }
+                // A release that crossed the close is said again on another connection.
+                for (id, cause) in unfinished.releases {
+                    let say = ToCaller::Released(cause);
+                    self.calls.commands.push_back(Command::Caller { link: None, id, say });
+                }
+            }
+            Peer::Journal(_) => {
+                tracing::warn!(conn = token, unmade, "journal connection lost");
+                self.calls.counters.up("errors journal connections lost");
+                self.journal_lost();
+            }
+            Peer::Exchange(id) => {
+                tracing::warn!(conn = token, exchange = id, unmade, refused, "exchange connection lost");
+                self.calls.counters.up(match unmade {
+                    true => "errors exchange connections unmade",
+                    false => "errors exchange connections lost",
+                });
+                self.link_lost(id, unmade, refused);
+            }
+        }
+    }
+
+    /// Takes a connection out of the books and has its socket closed.
+    fn forget(&mut self, token: ConnId) -> Option<Conn> {
+        let conn = self.conns.remove(&token)?;
+        self.held -= conn.held;
+        self.touched.remove(&token);
+        self.outputs.push_back(Output::Close(token));
+        Some(conn)
+    }
+
+    // -----------------------------------------------------------------------------------------------------
+    // Writing
+    // -----------------------------------------------------------------------------------------------------
+
+    /// What has to be written next on a connection.
+    pub fn pending(&self, token: ConnId) -> &[u8] {
+        match self.conns.get(&token).map(|c| &c.peer) {
+            Some(Peer::Caller(caller)) => caller.outbox.pending(),
+            Some(Peer::Journal(journal)) => journal.outbox.pending(),
+            Some(Peer::Exchange(id)) => self.links.get(id).map_or(&[], |l| l.session.outbox.pending()),
+            None => &[],
+        }
+    }
+
+    /// So many bytes of it were written.
+    pub fn wrote(&mut self, token: ConnId, count: usize) {
+        if let Some((_, outbox)) = self.buffers(token) {
+            outbox.wrote(count);
+        }
+    }
+
+    /// All that could be written on a connection was. Tells what it is to be watched for, unless it was closed
+    /// or is not up yet.
+    pub fn flushed(&mut self, token: ConnId) -> Option<Interest> {
+        let (inbox, outbox) = self.buffers(token)?;
+        let (left, held) = (outbox.pending().len(), inbox.held() + outbox.held());
+        let bounds = self.bounds;
+        let conn = self.conns.get_mut(&token).filter(|c| !c.connecting)?;
+        self.held = self.held - conn.held + held;
+        conn.held = held;
+        let (caller, ended, spoilt) = (matches!(conn.peer, Peer::Caller(_)), conn.ended, conn.spoilt);
+        // When memory is short, a caller that holds more than its share of it makes room.
+        let over = caller && self.held > bounds.buffered && held > bounds.buffered / bounds.connections;
+        if over || left > SLOW[1] {
+            let why = if over { "errors callers over the memory" } else { "errors slow readers" };
+            self.calls.counters.up(why);
+            self.lost(token);
+            return None;
+        }
+        if spoilt || ended && left == 0 && !self.calls.open_on(token) {
+            self.lost(token);
+            return None;
+        }
+        Some(Interest { reads: !(ended || caller && left > SLOW[0]), writes: left > 0 })
+    }
+
+    // -----------------------------------------------------------------------------------------------------
+    // Deadlines, commands
+    // -----------------------------------------------------------------------------------------------------
+
+    fn link_due(&mut self, due: LinkDue) {
+        match due {
+            LinkDue::Connect(token) => {
+                if self.conns.get(&token).is_some_and(|c| c.connecting) {
+                    self.unmade(token, false);
+                }
+            }
+            LinkDue::Half(id, token) => self.half_due(id, token),
+            LinkDue::Silent(id, token) => self.silent_due(id, token),
+            LinkDue::Redial(id) => self.redial_due(id),
+            LinkDue::Ask => self.ask_journal(),
+            LinkDue::Journal(token) => self.journal_due(token),
+            LinkDue::Caller(token) => self.caller_due(token),
+            LinkDue::Releases => self.deliver(None),
+            LinkDue::StopListening => {
+                self.listening = false;
+                self.outputs.push_back(Output::StopListening);
+            }
+            LinkDue::Leave => self.stop(),
+        }
+    }
+
+    /// Carries out what the call table commands, until nothing more follows from it.
+    pub fn carry_out(&mut self) {
+        self.calls.settle(self.now);
+        while let Some(command) = self.calls.commands.pop_front() {
+            match command {
+                Command::Caller { link, id, say } => self.say_caller(link, id, &say),
+                Command::Exchange { to, id, say } => self.say_exchange(to, id, &say),
+                Command::Withhold(id) => {
+                    let back = self.links.get_mut(&id).map(|l| l.session.withhold()).unwrap_or_default();
+                    for (call, attempt) in back {
+                        self.calls.attempt_lost(self.now, call, attempt, Came::NeverSent);
+                    }
+                }
+                Command::Listed => self.listed(),
+                Command::Ended(id) => {
+                    self.drop_link(id);
+                    self.calls.directory.drop_gone(id);
+                }
+            }
+            self.calls.settle(self.now);
+        }
+    }
+}
--- a/dillhold/src/lib.rs
+++ b/dillhold/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod counters;
 pub mod deadlines;
 pub mod directory;
+pub mod engine;
 pub mod net;
 pub mod session;
--- a/dillhold/src/main.rs
+++ b/dillhold/src/main.rs
@@ -3,15 +3,49 @@
 
 use std::process::ExitCode;
 
-use dillhold::net::Driver;
+use clap::Parser;
+use dillhold::net::{read_config, Driver};
+use tracing_subscriber::EnvFilter;
 
-fn run() -> Result<(), String> {
+/// A call controller for a private voice network.
+///
+/// The configuration file is named by EDGE_CONFIG. Structured logs go to standard error, a JSON object a line,
+/// as DILLHOLD_LOG asks for them (off, error, warn, info, debug, or by part: dillhold::engine=debug); they are
+/// off by default.
+#[derive(Parser)]
+#[command(name = "dillhold", version)]
+struct Cli {
+    /// Check a configuration file, say what it holds or what is wrong with it, and start nothing.
+    #[arg(long, value_name = "CONFIG")]
+    check: Option<String>,
+}
+
+fn check(path: &str) -> Result<(), String> {
+    let (config, told) = read_config(path).map_err(|e| format!("{path}: {e}"))?;
+    let known = config.known.entries.len();
+    let settings = &told.module;
+    println!(
+        "{path}: sound: exchange {} of {}, {} classes ({}), listens on {}, {known} journal events known",
+        settings.home.map_or("-".into(), |n| n.to_string()),
+        settings.agents,
+        told.classes.len(),
+        told.classes.join(", "),
+        config.listen,
+    );
+    Ok(())
+}
+
+fn serve() -> Result<(), String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
+    let wanted = std::env::var("DILLHOLD_LOG").unwrap_or_else(|_| "off".into());
+    let filter = EnvFilter::try_new(&wanted).map_err(|e| format!("DILLHOLD_LOG: {wanted}: {e}"))?;
+    tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
     Driver::start(path)?.run()
 }
 
 fn main() -> ExitCode {
-    match run() {
+    let cli = Cli::parse();
+    match cli.check.map_or_else(serve, |path| check(&path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
             eprintln!("dillhold: {}", text.replace(char::is_control, " "));
--- a/dillhold/src/net/conn.rs
+++ b/dillhold/src/net/conn.rs
@@ -5,59 +5,29 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 
-use pitchgw::interface::{ExchangeId, Nanos};
 use rustix::event::epoll::{self, EventData, EventFlags};
 use rustix::io::Errno;
 use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
 
-use crate::session::caller::Caller;
-use crate::session::journal::Journal;
-
-/// Who is at the other end.
-pub enum Peer {
-    /// Callers.
-    Caller(Caller),
-    /// An exchange; its session is with its link.
-    Exchange(ExchangeId),
-    /// The journal service.
-    Journal(Journal),
-}
-
 /// A connection.
 pub struct Conn {
     pub stream: TcpStream,
-    pub peer: Peer,
     /// It is not up yet.
     pub connecting: bool,
-    /// It was refused.
-    pub refused: bool,
-    /// The other side writes no more.
-    pub ended: bool,
-    /// When it was opened, and when bytes last came.
-    pub opened: Nanos,
-    pub read: Nanos,
-    /// Bytes that its buffers take, as last counted.
-    pub held: usize,
+    /// It was accepted, so a caller is at its other end.
+    pub caller: bool,
     watched: EventFlags,
 }
 
 impl Conn {
     /// Takes a socket and watches it.
-    pub fn new(
-        epoll: &OwnedFd,
-        fd: OwnedFd,
-        token: u64,
-        peer: Peer,
-        connecting: bool,
-        now: Nanos,
-    ) -> io::Result<Conn> {
+    pub fn new(epoll: &OwnedFd, fd: OwnedFd, token: u64, connecting: bool) -> io::Result<Conn> {
         let stream = TcpStream::from(fd);
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let watched = if connecting { EventFlags::OUT } else { EventFlags::IN };
         epoll::add(epoll, &stream, EventData::new_u64(token), watched)?;
-        let (refused, ended) = (false, false);
-        Ok(Conn { stream, peer, connecting, refused, ended, opened: now, read: now, held: 0, watched })
+        Ok(Conn { stream, connecting, caller: !connecting, watched })
     }
 
     /// Whether the connection came up.
@@ -67,10 +37,7 @@
                 self.connecting = false;
                 Ok(())
             }
-            Some(e) => {
-                self.refused = e.kind() == io::ErrorKind::ConnectionRefused;
-                Err(e)
-            }
+            Some(e) => Err(e),
         }
     }
 
--- /dev/null
+++ b/dillhold/tests/engine.rs
@@ -0,0 +1,265 @@
+//! A whole controller without a socket: time and what happens to connections in, what to do with them out.
+
+mod common;
+
+use common::{config, target, DESCRIPTION};
+use dillhold::codec::{binary, sip};
+use dillhold::directory::{read_config, read_settings};
+use dillhold::engine::{ConnId, Engine, Interest, Output};
+use pitchgw::interface::Nanos;
+
+const MS: Nanos = 1_000_000;
+const START: Nanos = 1_796_136_000_000 * MS;
+
+struct Bench {
+    engine: Engine,
+    now: Nanos,
+    outputs: Vec<Output>,
+    /// What was written, by connection, in order.
+    written: Vec<(ConnId, Vec<u8>)>,
+    interest: Vec<(ConnId, Interest)>,
+}
+
+impl Bench {
+    /// Exchange 0 that knows exchanges 1 and 2 at the ports of these numbers, and the journal at port 9.
+    fn new() -> Bench {
+        let at = |port: usize| format!("127.0.0.1:{port}").parse().unwrap();
+        let targets = [1, 2].map(|n| target(n, &format!("s-{n}"), at(n), "SERVING"));
+        let config = read_config(&config(at(5), at(9), &targets).to_string()).unwrap();
+        let told = read_settings(&config).unwrap();
+        let engine = Engine::new(START, config, told).unwrap();
+        let (outputs, written, interest) = (Vec::new(), Vec::new(), Vec::new());
+        let mut bench = Bench { engine, now: START, outputs, written, interest };
+        bench.settle();
+        bench
+    }
+
+    fn settle(&mut self) {
+        loop {
+            self.engine.carry_out();
+            while let Some(output) = self.engine.poll_output() {
+                self.outputs.push(output);
+            }
+            while let Some(conn) = self.engine.poll_write() {
+                let bytes = self.engine.pending(conn).to_vec();
+                self.engine.wrote(conn, bytes.len());
+                if !bytes.is_empty() {
+                    self.written.push((conn, bytes));
+                }
+                self.interest.extend(self.engine.flushed(conn).map(|i| (conn, i)));
+            }
+            if self.engine.settled() {
+                break;
+            }
+        }
+        self.engine.end_turn();
+        while let Some(output) = self.engine.poll_output() {
+            self.outputs.push(output);
+        }
+    }
+
+    /// Lets time pass, deadline by deadline.
+    fn wait(&mut self, span: Nanos) {
+        let until = self.now + span;
+        while let Some(due) = self.engine.next_due().filter(|due| *due <= until) {
+            self.now = self.now.max(due);
+            self.turn(|_| {});
+        }
+        self.now = until;
+    }
+
+    fn turn(&mut self, happens: impl FnOnce(&mut Engine)) {
+        self.engine.begin(self.now);
+        happens(&mut self.engine);
+        self.engine.sweep();
+        self.settle();
+    }
+
+    /// The newest connection dialled to a port.
+    fn dialled(&self, port: u16) -> Option<ConnId> {
+        let to = |o: &Output| match o {
+            Output::Dial { conn, to } if to.port() == port => Some(*conn),
+            _ => None,
+        };
+        self.outputs.iter().rev().find_map(to)
+    }
+
+    fn closed(&self, conn: ConnId) -> bool {
+        self.outputs.contains(&Output::Close(conn))
+    }
+
+    fn up(&mut self, port: u16) -> ConnId {
+        let conn = self.dialled(port).expect("it was dialled");
+        self.turn(|e| e.connected(conn));
+        conn
+    }
+
+    fn caller(&mut self) -> ConnId {
+        let mut conn = None;
+        self.turn(|e| conn = e.accepted());
+        conn.expect("there is room")
+    }
+
+    fn comes(&mut self, conn: ConnId, bytes: &[u8]) {
+        self.turn(|e| {
+            for part in bytes.chunks(64) {
+                let Some(room) = e.room(conn) else { return };
+                room[..part.len()].copy_from_slice(part);
+                e.filled(conn, part.len());
+            }
+        });
+    }
+
+    fn set_up(&mut self, caller: ConnId, id: u64) {
+        let mut out = Vec::new();
+        let figures = [
+            (100, &b"view"[..]),
+            (101, b"3000"),
+            (104, b"77"),
+            (105, b"dest:1;width:1;via:-1"),
+            (115, DESCRIPTION),
+        ];
+        binary::write(&mut out, binary::kind::SET_UP, id, &figures);
+        self.comes(caller, &out);
+    }
+
+    /// What was written on a connection since the last look at it.
+    fn said(&mut self, conn: ConnId) -> Vec<u8> {
+        let said = self.written.iter().filter(|w| w.0 == conn).flat_map(|w| w.1.clone()).collect();
+        self.written.retain(|w| w.0 != conn);
+        said
+    }
+}
+
+fn starts(bytes: &[u8], text: &str) -> bool {
+    bytes.starts_with(text.as_bytes())
+}
+
+fn ok(id: u64) -> Vec<u8> {
+    let mut out = Vec::new();
+    let (line, call) = (format_args!("SIP/2.0 200 OK"), format!("{id:016x}"));
+    sip::write(&mut out, line, call.as_bytes(), (1, "INVITE"), format_args!(""), DESCRIPTION);
+    out
+}
+
+#[test]
+fn it_listens_dials_and_asks_at_its_start_and_passes_a_call() {
+    let mut bench = Bench::new();
+    assert_eq!(bench.outputs[0], Output::Listen("127.0.0.1:5".parse().unwrap()));
+    let journal = bench.up(9);
+    assert!(starts(&bench.said(journal), "GET /journal?tail=1&"));
+    let exchange = bench.up(1);
+    let caller = bench.caller();
+    bench.set_up(caller, 7);
+    let invite = bench.said(exchange);
+    assert!(starts(&invite, "INVITE sip:77@net ") && invite.ends_with(DESCRIPTION));
+    bench.wait(20 * MS);
+    bench.comes(exchange, &ok(7));
+    assert!(starts(&bench.said(exchange), "ACK "));
+    let told = bench.said(caller);
+    let (answer, _) = binary::parse(&told).unwrap().unwrap();
+    assert_eq!((answer.kind, answer.call), (binary::kind::ANSWER, 7));
+    assert_eq!(answer.parameter(binary::param::DESCRIPTION), Some(DESCRIPTION));
+}
+
+#[test]
+fn a_connection_that_never_comes_up_is_dialled_again_after_a_pause() {
+    let mut bench = Bench::new();
+    let first = bench.dialled(1).unwrap();
+    bench.wait(499 * MS);
+    assert!(!bench.closed(first), "the time that the settings give it is not over");
+    bench.wait(MS);
+    assert!(bench.closed(first));
+    bench.wait(249 * MS);
+    assert_eq!(bench.dialled(1), Some(first));
+    bench.wait(MS);
+    assert_ne!(bench.dialled(1), Some(first));
+}
+
+#[test]
+fn a_connection_that_stays_silent_after_a_set_up_is_replaced_and_the_next_has_twice_the_time() {
+    let mut bench = Bench::new();
+    let (first, caller) = (bench.up(1), bench.caller());
+    bench.wait(1_000 * MS);
+    bench.set_up(caller, 7);
+    assert!(starts(&bench.said(first), "INVITE "));
+    bench.wait(199 * MS);
+    assert!(!bench.closed(first));
+    bench.wait(MS);
+    assert!(bench.closed(first), "nothing at all came for 200 ms");
+    bench.wait(MS);
+    let second = bench.up(1);
+    assert_ne!(first, second);
+    // The attempt may have left something behind: the call waits for the release before it is sent again.
+    bench.wait(348 * MS);
+    assert!(bench.said(second).is_empty());
+    bench.wait(MS);
+    assert!(starts(&bench.said(second), "INVITE "));
+    bench.wait(399 * MS);
+    assert!(!bench.closed(second));
+    bench.wait(MS);
+    assert!(bench.closed(second));
+}
+
+#[test]
+fn what_a_caller_was_answered_leaves_before_its_connection_is_closed_for_noise() {
+    let mut bench = Bench::new();
+    let caller = bench.caller();
+    let mut bytes = Vec::new();
+    binary::write(&mut bytes, binary::kind::TEST, 3, &[(binary::param::CAUSE, &[0])]);
+    bytes.extend([0, 1, 2, 3]);
+    bench.comes(caller, &bytes);
+    let told = bench.said(caller);
+    assert_eq!(binary::parse(&told).unwrap().unwrap().0.kind, binary::kind::TESTED);
+    assert!(bench.closed(caller));
+    let mut room = true;
+    bench.turn(|e| room = e.room(caller).is_some());
+    assert!(!room, "nothing more is read from it");
+}
+
+#[test]
+fn a_caller_that_writes_no_more_is_answered_and_then_closed() {
+    let mut bench = Bench::new();
+    let (exchange, caller) = (bench.up(1), bench.caller());
+    bench.set_up(caller, 7);
+    bench.turn(|e| e.read_ended(caller));
+    assert!(!bench.closed(caller), "it is owed an answer");
+    assert_eq!(bench.interest.last(), Some(&(caller, Interest { reads: false, writes: false })));
+    bench.comes(exchange, &ok(7));
+    assert!(!bench.said(caller).is_empty() && bench.closed(caller));
+}
+
+#[test]
+fn told_to_end_it_serves_on_stops_listening_and_stops_when_no_set_up_is_open() {
+    let mut bench = Bench::new();
+    let (exchange, caller) = (bench.up(1), bench.caller());
+    bench.turn(Engine::end);
+    bench.wait(600 * MS);
+    assert!(!bench.outputs.contains(&Output::StopListening), "callers are still sent here");
+    bench.set_up(caller, 7);
+    bench.comes(exchange, b"OPTIONS sip:x@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nl: 0\r\n\r\n");
+    bench.wait(200 * MS);
+    assert!(bench.outputs.contains(&Output::StopListening));
+    assert!(!bench.outputs.contains(&Output::Stop), "a set-up is open");
+    bench.comes(exchange, &ok(7));
+    assert_eq!(bench.outputs.last(), Some(&Output::Stop));
+    assert!(!bench.said(caller).is_empty());
+}
+
+#[test]
+fn the_same_feed_gives_the_same_bytes() {
+    let play = || {
+        let mut bench = Bench::new();
+        let exchanges = [bench.up(1), bench.up(2)];
+        let caller = bench.caller();
+        for id in 1..40 {
+            bench.set_up(caller, id * 0x9e37_79b9_7f4a_7c15);
+        }
+        bench.wait(30 * MS);
+        // All attempts end at once: in which order they do must not differ from run to run.
+        bench.turn(|e| exchanges.into_iter().for_each(|x| e.lost(x)));
+        bench.wait(2_000 * MS);
+        (bench.outputs, bench.written)
+    };
+    assert_eq!(play(), play());
+}
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -285,3 +285,39 @@
         assert!(said.starts_with("dillhold: configuration: ") && said.lines().count() == 1, "{said}");
     }
 }
+
+#[test]
+fn a_configuration_is_checked_without_a_start_and_logs_come_when_asked_for() {
+    let program = |argument: &str, path: &std::path::Path| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_dillhold"));
+        command.env_remove("EDGE_CONFIG").arg(argument);
+        if argument == "--check" {
+            command.arg(path);
+        }
+        let output = command.output().unwrap();
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.success(), text(&output.stdout), text(&output.stderr))
+    };
+    let path = config_path("checked");
+    let journal = listener();
+    let sound = config("127.0.0.1:1".parse().unwrap(), journal.local_addr().unwrap(), &[]);
+    std::fs::write(&path, sound.to_string()).unwrap();
+    let (fine, said, _) = program("--check", &path);
+    assert!(fine && said.contains(": sound: exchange 0 of 3, 1 classes (view)"), "{said}");
+    std::fs::write(&path, sound.to_string().replace("\"aim\":1200000000", "\"aim\":0")).unwrap();
+    let (fine, _, wrong) = program("--check", &path);
+    assert!(!fine && wrong.contains("checked.json: ") && wrong.contains("the aim is zero"), "{wrong}");
+    std::fs::remove_file(&path).unwrap();
+    assert!(program("--version", &path).1.starts_with("dillhold 0."));
+
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_dillhold"));
+    std::fs::write(&path, sound.to_string().replace("127.0.0.1:1", "127.0.0.1:0")).unwrap();
+    command.env("EDGE_CONFIG", &path).env("DILLHOLD_LOG", "info").stderr(std::process::Stdio::piped());
+    let mut child = command.spawn().unwrap();
+    let mut first = String::new();
+    let mut lines = std::io::BufReader::new(child.stderr.take().unwrap());
+    std::io::BufRead::read_line(&mut lines, &mut first).unwrap();
+    let _ = (child.kill(), child.wait(), std::fs::remove_file(&path));
+    let line: serde_json::Value = serde_json::from_str(&first).expect("a JSON object a line");
+    assert_eq!(line["fields"]["message"], "list of exchanges");
+}
