Measure trunk groups in the controller; mend three failures that rehearsals found

Need: groups were sized for a plan that the traffic does not follow; the controller sees every call. `measured` counts, bounded and without I/O, fresh calls, redials apart, what stood directly, overflowed or came to nothing, transit, circuits in use, time with none free and holding times, in intervals that lie on the wall clock of a time zone (jiff). Where deploy/dillhold.json5 names a folder, each closed interval is written whole or not at all by a thread of its own. Everything is off by default.

Ended calls are remembered for 30 s, as many as before at the most.

--- a/dillhold/src/call/memory.rs
+++ b/dillhold/src/call/memory.rs
@@ -6,8 +6,10 @@
 
 use crate::clock::MS;
 
-/// How long a call that is over is remembered, for what crosses its end on the way.
-const REMEMBERED: Nanos = 5_000 * MS;
+/// How long a call that is over is remembered, for what crosses its end on the way. An exchange says what it could
+/// not say on its next connection, which may come up late; what is not remembered is taken for a call of before the
+/// start, and its release is passed on. At five seconds a caller was once told twice.
+const REMEMBERED: Nanos = 30_000 * MS;
 
 /// Calls that ended lately.
 #[derive(Debug)]
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -11,6 +11,9 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
+use measured::calendar::Calendar;
+use measured::meter::Meter;
+use measured::record::Interval;
 use pitchgw::interface::*;
 use pitchgw::Controller;
 
@@ -43,19 +46,33 @@
     size: usize,
     class: usize,
     number: Vec<u8>,
+    /// The module's handle for the number.
+    dialled: Option<NumberId>,
     description: Vec<u8>,
     destination: u32,
     transit: bool,
     deadline: Nanos,
     attempts: u32,
     out: Option<Out>,
-    /// Set once the call stands.
+    /// Set once the call stands, with the time.
     stands: Option<Out>,
+    stood_at: Nanos,
     /// The caller is owed a final answer.
     owed: bool,
     not_before: Nanos,
 }
 
+impl Call {
+    fn measured(&self) -> measured::meter::Call {
+        let (class, destination, transit) = (self.class, self.destination, self.transit);
+        measured::meter::Call { class, destination, transit }
+    }
+}
+
+fn unix_ms(time: Nanos) -> i64 {
+    (time / MS) as i64
+}
+
 /// What a connection from callers bears.
 #[derive(Debug, Default)]
 struct Borne {
@@ -79,6 +96,10 @@
     over: Lately,
     forgetting: bool,
     numbers: Numbers,
+    /// Counts for the operator, if he has asked for it.
+    meter: Option<Meter>,
+    /// Closed intervals that were not fetched yet.
+    pub intervals: VecDeque<Interval>,
     next_call: CallId,
     open: usize,
     /// Bytes of the set-ups that are owed an answer.
@@ -109,6 +130,8 @@
             forgetting: false,
             // A caller that dials again does so within the longest deadline.
             numbers: Numbers::new(longest, bounds.standing),
+            meter: None,
+            intervals: VecDeque::new(),
             next_call: 0,
             open: 0,
             held: 0,
@@ -120,6 +143,32 @@
         })
     }
 
+    /// Counts calls and groups from now on, interval by interval.
+    pub fn measure(&mut self, now: Nanos, calendar: Calendar) {
+        let widths = self.set.classes.iter().map(|c| c.width);
+        let class = |(name, width): (&String, u32)| measured::meter::Class { name: name.clone(), width };
+        let classes = self.told.classes.iter().zip(widths).map(class).collect();
+        let persists = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let home = self.set.home.unwrap_or(self.set.own_number);
+        let meter = Meter::new(home, classes, calendar, unix_ms(persists), unix_ms(now));
+        self.deadlines.add(meter.ends() as Nanos * MS, Due::Measured);
+        self.meter = Some(meter);
+    }
+
+    /// Closes the intervals that are over; `running`: the present one too, for the program ends.
+    pub fn close_intervals(&mut self, now: Nanos, running: bool) {
+        let Some(meter) = &mut self.meter else { return };
+        while let Some(interval) = meter.roll(unix_ms(now)) {
+            self.intervals.push_back(interval);
+        }
+        if running {
+            self.intervals.extend(meter.cut(unix_ms(now)));
+            self.meter = None;
+        } else {
+            self.deadlines.add(meter.ends() as Nanos * MS, Due::Measured);
+        }
+    }
+
     /// Whether these settings can take the place of the present ones while calls are open and stand: they are of
     /// the same exchange, in the same layout, with the same classes.
     pub fn admits(&self, told: &Told) -> bool {
@@ -241,6 +290,7 @@
                 size,
                 class,
                 number: s.number.to_vec(),
+                dialled: None,
                 description: s.description.to_vec(),
                 destination: s.destination,
                 transit: s.transit,
@@ -248,6 +298,7 @@
                 attempts: 0,
                 out: None,
                 stands: None,
+                stood_at: now,
                 owed: true,
                 not_before: now,
             },
@@ -260,6 +311,10 @@
         // before is failed here, whatever keeps the module from it; no sooner, or it takes the module's place.
         self.deadlines.add(deadline.saturating_sub(self.set.tick / 2), Due::Answer(s.id, handle));
         let dialled = Some(s.number).filter(|n| !n.is_empty()).map(|n| self.numbers.handle(now, n));
+        if let (Some(meter), Some(call)) = (&mut self.meter, self.table.get_mut(&s.id)) {
+            call.dialled = dialled;
+            meter.offered(unix_ms(now), call.measured(), dialled, s.again);
+        }
         self.tell(
             now,
             Event::Call(NewCall {
@@ -338,7 +393,15 @@
     /// its attempts they speak of: by the release wait, or by its final response, an earlier attempt at the same
     /// exchange has had its last word before the next one is sent.
     fn out_at(&self, id: u64, exchange: ExchangeId) -> Option<Out> {
-        self.table.get(&id)?.out.filter(|o| o.exchange == exchange)
+        self.table.get(&id)?.out.filter(|o| self.speaks_for(exchange, o.exchange))
+    }
+
+    /// Whether what comes from one machine's connection may be another's word. Where a machine has the address of
+    /// one that has gone, the link to the old one ends at the new one until the journal tells, and no connection
+    /// owns a call: a release heard there was once dropped, and its call left standing.
+    fn speaks_for(&self, heard: ExchangeId, exchange: ExchangeId) -> bool {
+        let address = |id| self.directory.machine(id).map(|m| m.address);
+        heard == exchange || address(heard).is_some_and(|a| address(exchange) == Some(a))
     }
 
     /// Takes in what an exchange said.
@@ -352,6 +415,11 @@
             FromExchange::Released { id, cause } => self.released(now, exchange, id, cause),
             FromExchange::Group(report) => {
                 self.counters.up("taken group states");
+                let number = self.directory.machine(exchange).map(|m| m.number);
+                let known = number.zip(report.free).zip(report.size);
+                if let (Some(meter), Some(((number, free), size))) = (&mut self.meter, known) {
+                    meter.state(unix_ms(now), number, free, size);
+                }
                 self.tell(now, Event::Probed { exchange, answered: true, took: 0, report });
             }
         }
@@ -364,7 +432,7 @@
             // more answer where the call stands already would have it released, and one under an id that was
             // never sent from here is dropped, for nothing stands for it.
             let call = self.table.get(&id);
-            let copy = call.and_then(|c| c.stands).is_some_and(|s| s.exchange == exchange);
+            let copy = call.and_then(|c| c.stands).is_some_and(|s| self.speaks_for(exchange, s.exchange));
             if !copy && (call.is_some() || self.over.knows(id)) {
                 self.say_exchange(exchange, id, ToExchange::Release(16));
             }
@@ -372,7 +440,11 @@
         };
         self.counters.up("taken answers");
         let Some(call) = self.table.get_mut(&id) else { return };
-        (call.out, call.stands) = (None, Some(out));
+        (call.out, call.stands, call.stood_at) = (None, Some(out), now);
+        if let Some(meter) = &mut self.meter {
+            let by = self.directory.machine(out.exchange).map_or(call.destination, |m| m.number);
+            meter.stood(call.measured(), by, call.dialled);
+        }
         (call.number, call.description) = (Vec::new(), Vec::new());
         let (handle, link) = (call.handle, call.link);
         self.answered(id);
@@ -393,7 +465,7 @@
             }
             return;
         };
-        if call.stands.is_some_and(|s| s.exchange == exchange) {
+        if call.stands.is_some_and(|s| self.speaks_for(exchange, s.exchange)) {
             let outcome = if cause == 16 { Outcome::Completed } else { Outcome::Cut };
             let link = call.link;
             self.say(Some(link), id, ToCaller::Released(cause));
@@ -401,8 +473,18 @@
         }
     }
 
-    /// The connection to an exchange is gone. `unsent` are the attempts whose set-up never left.
+    /// The connection to an exchange is gone. `unsent` are the attempts whose set-up never left. One that is still
+    /// to be carried out has not left either: taken for cut it was once written to the next connection all the same,
+    /// and the call sent again beside it.
     pub fn exchange_lost(&mut self, now: Nanos, exchange: ExchangeId, unsent: &[(u64, u32)]) {
+        let mut unsent = unsent.to_vec();
+        self.commands.retain(|command| match command {
+            Command::Exchange { to, id, say: ToExchange::SetUp { attempt, .. } } if *to == exchange => {
+                unsent.push((*id, *attempt));
+                false
+            }
+            _ => true,
+        });
         let here = |c: &Call| c.out.filter(|o| o.exchange == exchange);
         let out = self.table.iter().filter_map(|(id, c)| here(c).map(|o| (*id, o)));
         // In the order of ids: the table's own order differs from run to run.
@@ -489,6 +571,7 @@
                     self.commands.push_back(Command::Ended(exchange));
                 }
             }
+            Due::Measured => self.close_intervals(now, false),
             Due::Forget => {
                 self.forgetting = false;
                 self.over.forget(now);
@@ -654,13 +737,20 @@
     }
 
     fn over_standing(&mut self, now: Nanos, id: u64, outcome: Outcome) {
-        let Some(stood) = self.table.get(&id).and_then(|c| c.stands) else { return };
+        let Some(call) = self.table.get(&id) else { return };
+        let Some(stood) = call.stands else { return };
+        if let (Some(meter), Outcome::Completed) = (&mut self.meter, outcome) {
+            meter.held(call.class, unix_ms(now - call.stood_at));
+        }
         self.ended(now, id, stood, (outcome, Cause::Untold, Report::default()));
         self.forget(now, id, true);
     }
 
     fn forget(&mut self, now: Nanos, id: u64, for_good: bool) {
         if let Some(call) = self.table.remove(&id) {
+            if let (Some(meter), None) = (&mut self.meter, call.stands) {
+                meter.lost(call.measured());
+            }
             self.ids.remove(&call.handle);
             if call.stands.is_some() {
                 self.borne(call.link, |b| b.standing -= 1);
--- a/dillhold/src/call/words.rs
+++ b/dillhold/src/call/words.rs
@@ -168,6 +168,8 @@
     Answer(u64, CallId),
     /// A machine that is gone has had its last words.
     Gone(ExchangeId),
+    /// An interval of the measuring is over.
+    Measured,
     /// The ids of calls that ended before are forgotten.
     Forget,
     /// Something of the connections'.
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -23,6 +23,8 @@
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
+use measured::calendar::Calendar;
+use measured::record::Interval;
 use pitchgw::interface::{ExchangeId, Nanos};
 
 use crate::call::{Calls, Came, Command, Due, LinkDue, ToCaller};
@@ -213,6 +215,7 @@
     fn stop(&mut self) {
         if !self.stopped {
             self.stopped = true;
+            self.calls.close_intervals(self.now, true);
             self.outputs.push_back(Output::Stop);
         }
     }
@@ -250,6 +253,21 @@
         self.calls.counters.up("taken configurations");
     }
 
+    /// Measures trunk groups from now on, as the operator has it.
+    pub fn measure(&mut self, calendar: Calendar) {
+        self.calls.measure(self.now, calendar);
+    }
+
+    /// Closes the running interval before it is over, and measures no more.
+    pub fn cut_interval(&mut self) {
+        self.calls.close_intervals(self.now, true);
+    }
+
+    /// The next closed interval of the measuring.
+    pub fn poll_interval(&mut self) -> Option<Interval> {
+        self.calls.intervals.pop_front()
+    }
+
     /// All counts so far.
     pub fn counters(&self) -> &Counters {
         &self.calls.counters
--- a/dillhold/src/lib.rs
+++ b/dillhold/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod directory;
 pub mod engine;
 pub mod net;
+pub mod operator;
 pub mod session;
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The driver: sockets, epoll, signals and nothing else. It reads into the engine's buffers and writes what they
 //! hold; what is said and when, and what becomes of connections, is settled in [`crate::engine`].
 
+pub mod archive;
 mod conn;
 
 use std::collections::BTreeMap;
@@ -18,6 +19,8 @@
 use crate::clock::{Clock, MS};
 use crate::directory::{self, Config, Told};
 use crate::engine::{ConnId, Engine, Output, FIRST_CONN};
+use crate::operator::Operator;
+use archive::Archive;
 use conn::Conn;
 
 /// Tokens of what is no connection; those of connections come after.
@@ -57,6 +60,7 @@
     clock: Clock,
     now: Nanos,
     engine: Engine,
+    archive: Option<Archive>,
     conns: BTreeMap<ConnId, Conn>,
     leave: bool,
 }
@@ -87,13 +91,18 @@
 }
 
 impl Driver {
-    /// Reads the configuration and opens the listener.
-    pub fn start(path: String) -> Result<Driver, String> {
+    /// Reads the configuration and opens the listener, and the operator's folder if he has named one.
+    pub fn start(path: String, operator: &Operator) -> Result<Driver, String> {
         let (config, told) = read_config(&path)?;
         let mut clock = Clock::start();
         let now = clock.read();
         let at = config.listen;
-        let engine = Engine::new(now, config, told)?;
+        let mut engine = Engine::new(now, config, told)?;
+        let mut archive = None;
+        if let Some(measure) = &operator.measure {
+            engine.measure(measure.calendar().map_err(|e| e.to_string())?);
+            archive = Some(Archive::open(&measure.folder)?);
+        }
 
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(|e| format!("epoll: {e}"))?;
         let prepared = Some(listen(&epoll, at)?);
@@ -122,6 +131,7 @@
             clock,
             now,
             engine,
+            archive,
             conns,
             leave,
         };
@@ -196,6 +206,11 @@
         }
         self.engine.end_turn();
         self.perform();
+        while let Some(interval) = self.engine.poll_interval() {
+            if !self.archive.as_ref().is_some_and(|a| a.take(interval)) {
+                self.engine.count("errors intervals dropped");
+            }
+        }
         Ok(())
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,8 +18,8 @@
 /// Routes kept for each exchange listed: the direct one and the tandems that carry most of what is blocked.
 /// When the table is full, the half that has been unused longest is forgotten.
 const ROUTES_KEPT: usize = 24;
-/// Longest aims after which a route that nothing was sent on is tried again, and the share of an aim that its
-/// least round trip is then taken for at the most.
+/// Longest aims after which a route that nothing was sent on is tried again, and the share of an aim that
+/// its least round trip is then taken for at the most.
 const UNTRIED_AIMS: f64 = 5.0;
 const UNTRIED_LEAST: f64 = 0.5;
 /// Multiples of the aim that a full, turned-back or timed-out set-up counts for as a round trip.
@@ -557,7 +557,8 @@
             Shape::Mesh => vec![direct?],
         };
         let at = self.awake(now);
-        let load = Load { rho: self.rho(at), out: self.load(at), typical: self.typical, aim: self.aim };
+        let (rho, out) = (self.rho(at), self.load(at));
+        let load = Load { rho, out, typical: self.typical, aim: self.aim };
         let mut blocked = false;
         for x in candidates {
             let time = self.predict(at, self.exchanges[&x].number, x, load);
