--- /dev/null
+++ b/trunks/tests/measured_loads.rs
@@ -0,0 +1,176 @@
+//! From intervals to loads, busy hours and plans.
+
+use std::collections::BTreeMap;
+
+use measured::calendar::Calendar;
+use measured::record::{ClassFigures, GroupFigures, Holding as Held, Interval};
+use trunks::busy::{busy_hours, Kind, NamedDays, Rule};
+use trunks::offered::{by_group, from_arrivals, from_usage, Holding};
+use trunks::plan::{size, spread, Aim, Verdict};
+use trunks::{erlang, overflow};
+
+const QUARTER: i64 = 900_000;
+/// 2026-05-04 00:00 in Prague, a Monday.
+const MONDAY: i64 = 1_777_845_600_000;
+const DAY: i64 = 86_400_000;
+
+/// A quarter of an hour at one end: calls for the other end, of 100 s each.
+fn interval(exchange: u32, to: u32, from: i64, offered: u64, circuits: f64) -> Interval {
+    let class =
+        ClassFigures { class: "view".into(), width: 1, offered, carried: offered, ..ClassFigures::default() };
+    let in_use = offered as f64 * 100.0 / 900.0;
+    Interval {
+        exchange,
+        from,
+        to: from + QUARTER,
+        measured: (from, from + QUARTER),
+        time_zone: "Europe/Prague".into(),
+        groups: vec![GroupFigures {
+            to,
+            circuits,
+            observed: 900.0,
+            circuit_seconds: 2.0 * in_use * 900.0,
+            full: 0.0,
+            classes: vec![class],
+        }],
+        holding: vec![Held {
+            class: "view".into(),
+            calls: offered,
+            seconds: offered as f64 * 100.0,
+            squares: offered as f64 * 2.0 * 10_000.0,
+            quantiles: [69.0, 230.0, 460.0],
+        }],
+        uncounted: 0,
+    }
+}
+
+/// Four weeks of quiet days, with a peak on Saturday late mornings; one end's clock is 90 s off.
+fn four_weeks() -> Vec<Interval> {
+    let mut all = Vec::new();
+    for day in 0..28 {
+        for quarter in 0..96 {
+            let saturday = day % 7 == 5;
+            let peak = saturday && (40..48).contains(&quarter); // 10:00 to 12:00
+            let calls = if peak { 270 } else { 27 + u64::from((36..72).contains(&quarter)) * 9 };
+            let from = MONDAY + day * DAY + quarter * QUARTER;
+            all.push(interval(1, 2, from, calls, 60.0));
+            all.push(interval(2, 1, from + 90_000, calls, 60.0));
+        }
+    }
+    all
+}
+
+#[test]
+fn a_peak_on_saturdays_is_found_and_a_daily_average_would_miss_it() {
+    let calendar = Calendar::new("Europe/Prague", 15).unwrap();
+    let intervals = four_weeks();
+    let loads = by_group(&intervals);
+    let group = &loads[&(1, 2)];
+    assert_eq!(group.len(), 28 * 96, "both ends are one group, whatever their clocks");
+    assert!(group.iter().all(|l| l.both_ends));
+    let hours = busy_hours(group, &calendar, &NamedDays::new(), Rule::TimeConsistent);
+    let kinds: Vec<&Kind> = hours.iter().map(|h| &h.kind).collect();
+    assert_eq!(kinds, [&Kind::Weekday, &Kind::Saturday, &Kind::Sunday]);
+    let saturday = &hours[1];
+    // 2 x 270 calls of 100 s in 900 s.
+    assert!(
+        (saturday.load.mean - 60.0).abs() < 1e-6 && (600..=660).contains(&saturday.minute),
+        "{saturday:?}"
+    );
+    assert!(saturday.load.low > 55.0 && saturday.load.high < 65.0 && saturday.days == 4 && saturday.enough());
+    let aim = Aim { loss: 0.01, peakedness: 1.0, price: 2.0 };
+    let plan = size((1, 2), 60, &hours, &aim).unwrap().unwrap();
+    assert_eq!(plan.needed as u64, erlang::circuits(60.0, 0.01).unwrap());
+    assert_eq!((&plan.hour.kind, plan.verdict), (&Kind::Saturday, Verdict::Enlarge));
+    assert!((plan.cost - 2.0 * f64::from(plan.needed - 60)).abs() < 1e-9);
+    // The plan that a daily average leads to, in the true peak.
+    let average = group.iter().map(|l| l.circuits_offered().mean).sum::<f64>() / group.len() as f64;
+    let by_average = erlang::circuits(average, 0.01).unwrap();
+    let missed = erlang::loss(60.0, by_average as f64).unwrap();
+    assert!(missed > 50.0 * 0.01, "by the average {by_average} circuits: a loss of {missed} in the peak");
+}
+
+#[test]
+fn named_days_are_kept_apart_and_the_nth_hour_is_taken_when_asked_for() {
+    let calendar = Calendar::new("Europe/Prague", 15).unwrap();
+    let loads = by_group(&four_weeks());
+    let named: NamedDays = BTreeMap::from([((2026, 5, 9), "race".to_string())]);
+    let hours = busy_hours(&loads[&(1, 2)], &calendar, &named, Rule::TimeConsistent);
+    let race = hours.iter().find(|h| h.kind == Kind::Named("race".into())).unwrap();
+    assert!((race.load.mean - 60.0).abs() < 1e-6 && race.days == 1 && race.enough());
+    let saturday = hours.iter().find(|h| h.kind == Kind::Saturday).unwrap();
+    assert!(saturday.days == 3 && !saturday.enough(), "three Saturdays are too few to tell");
+    let nth = |n| {
+        let hours = busy_hours(&loads[&(1, 2)], &calendar, &NamedDays::new(), Rule::Nth(n));
+        hours.into_iter().find(|h| h.kind == Kind::Saturday).unwrap().load.mean
+    };
+    assert!((nth(1) - 60.0).abs() < 1e-6 && (nth(8) - 60.0).abs() < 1e-6 && nth(9) < 10.0);
+}
+
+#[test]
+fn a_group_that_is_always_full_has_an_interval_without_end() {
+    let load = from_usage(20.0, 20.0, 100.0, 3_600.0);
+    assert!(load.high.is_infinite() && load.low > 10.0 && load.mean > 20.0, "{load:?}");
+    let seen = from_usage(10.0, 20.0, 100.0, 36_000.0);
+    assert!(seen.low < 10.0 && seen.high > 10.0 && seen.high < 13.0, "{seen:?}");
+    // What carries 17 E on 20 circuits.
+    let tight = from_usage(17.0, 20.0, 10.0, 360_000.0);
+    assert!((tight.mean * (1.0 - erlang::loss(tight.mean, 20.0).unwrap()) - 17.0).abs() < 1e-6);
+    let one_end = by_group(&[interval(1, 2, MONDAY, 90, 60.0)]);
+    let load = one_end[&(1, 2)][0].circuits_offered();
+    assert!((load.mean - 20.0).abs() < 0.5, "10 E of its own, as much again seen in use: {load:?}");
+    let hours =
+        busy_hours(&one_end[&(1, 2)], &Calendar::new("UTC", 15).unwrap(), &NamedDays::new(), Rule::Nth(1));
+    assert!(hours.is_empty(), "a quarter is no hour");
+}
+
+#[test]
+fn the_interval_of_a_count_is_garwoods_and_widens_with_the_holding_times() {
+    let long = Holding { calls: 1_000_000, seconds: 1e8, squares: 2e10 };
+    let load = from_arrivals(10, 1_000.0, &long);
+    // Garwood's exact limits for 10 are 4.795 and 18.390.
+    assert!((load.mean - 1.0).abs() < 1e-12);
+    assert!((load.low - 0.4795).abs() < 1e-3 && (load.high - 1.839).abs() < 1e-3, "{load:?}");
+    let few = from_arrivals(10, 1_000.0, &Holding { calls: 5, seconds: 500.0, squares: 1e5 });
+    assert!(few.low < load.low && few.high > load.high);
+    let none = from_arrivals(0, 1_000.0, &long);
+    assert!(none.mean == 0.0 && none.low == 0.0 && (none.high - 0.3689).abs() < 1e-3, "{none:?}");
+}
+
+#[test]
+fn circuits_are_spread_so_that_no_move_carries_more() {
+    let loads = [3.0, 30.0, 12.0, 0.0];
+    let given = spread(&loads, 55).unwrap();
+    assert_eq!(given.iter().sum::<u32>(), 55);
+    let carried = |n: &[u32]| -> f64 {
+        let one = |(a, n): (&f64, &u32)| a * (1.0 - erlang::loss(*a, f64::from(*n)).unwrap());
+        loads.iter().zip(n).map(one).sum()
+    };
+    let best = carried(&given);
+    for from in 0..4 {
+        for to in (0..4).filter(|to| *to != from && given[from] > 0) {
+            let mut moved = given.clone();
+            (moved[from], moved[to]) = (moved[from] - 1, moved[to] + 1);
+            assert!(carried(&moved) <= best + 1e-12, "{given:?} {moved:?}");
+        }
+    }
+    assert_eq!(given[3], 0, "a group without load needs none");
+}
+
+#[test]
+fn peaked_traffic_and_wide_calls_are_sized_as_such() {
+    let calendar = Calendar::new("Europe/Prague", 15).unwrap();
+    let loads = by_group(&four_weeks());
+    let hours = busy_hours(&loads[&(1, 2)], &calendar, &NamedDays::new(), Rule::TimeConsistent);
+    let needed = |peakedness| {
+        size((1, 2), 60, &hours, &Aim { loss: 0.01, peakedness, price: 0.0 }).unwrap().unwrap().needed
+    };
+    let stream = overflow::Stream::peaked(60.0, 2.0);
+    assert_eq!(u64::from(needed(2.0)), overflow::circuits(stream, 0.01).unwrap());
+    let mut wide = hours[1].clone();
+    wide.classes.insert("wide".into(), (8, trunks::offered::Load { mean: 2.0, low: 1.5, high: 2.5 }));
+    wide.load = wide.load.plus(trunks::offered::Load { mean: 16.0, low: 12.0, high: 20.0 });
+    let plan = size((1, 2), 60, &[wide], &Aim { loss: 0.01, peakedness: 1.0, price: 0.0 }).unwrap().unwrap();
+    assert!(plan.needed > 100, "a call of eight circuits needs eight free ones: {}", plan.needed);
+    assert!(plan.loss_now[1].1 > plan.loss_now[0].1);
+}
