--- /dev/null
+++ b/ctl/src/dimension_plots.rs
@@ -0,0 +1,135 @@
+//! Pictures of a plan: load by hour and kind of day, and loss against circuits.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use measured::calendar::Calendar;
+use plotters::prelude::*;
+use trunks::offered::{Ends, GroupLoad};
+use trunks::overflow::{self, Stream};
+use trunks::plan::{Aim, GroupPlan};
+
+/// Groups with a picture of their own: those with most load.
+const DRAWN: usize = 6;
+const SIZE: (u32, u32) = (1000, 400);
+
+type Error = Box<dyn std::error::Error>;
+
+const COLOURS: [RGBColor; 4] =
+    [RGBColor(31, 119, 180), RGBColor(214, 39, 40), RGBColor(44, 160, 44), RGBColor(148, 103, 189)];
+
+/// Draws for the groups with most load; tells the files.
+pub fn draw(
+    folder: &Path,
+    loads: &BTreeMap<Ends, Vec<GroupLoad>>,
+    calendar: &Calendar,
+    plans: &[GroupPlan],
+    aim: &Aim,
+) -> Result<Vec<PathBuf>, Error> {
+    std::fs::create_dir_all(folder)?;
+    let mut heavy: Vec<&GroupPlan> = plans.iter().collect();
+    heavy.sort_by(|a, b| b.hour.load.mean.total_cmp(&a.hour.load.mean));
+    let mut files = Vec::new();
+    for plan in heavy.into_iter().take(DRAWN) {
+        let (a, b) = plan.ends;
+        let load = folder.join(format!("load-n{a}-n{b}.svg"));
+        by_hour(&load, plan, &loads[&plan.ends], calendar)?;
+        let loss = folder.join(format!("loss-n{a}-n{b}.svg"));
+        against_circuits(&loss, plan, aim)?;
+        files.extend([load, loss]);
+    }
+    Ok(files)
+}
+
+fn by_hour(file: &Path, plan: &GroupPlan, loads: &[GroupLoad], calendar: &Calendar) -> Result<(), Error> {
+    let mut kinds: BTreeMap<&str, BTreeMap<u32, (f64, f64)>> = BTreeMap::new();
+    for load in loads {
+        let at = calendar.local(load.from);
+        let kind = match at.weekday {
+            6 => "Saturday",
+            7 => "Sunday",
+            _ => "Monday to Friday",
+        };
+        let minute = at.hour as u32 * 60 + at.minute as u32;
+        let sum = kinds.entry(kind).or_default().entry(minute).or_default();
+        *sum = (sum.0 + load.circuits_offered().mean, sum.1 + 1.0);
+    }
+    let means = kinds.values().flat_map(|k| k.values().map(|(s, n)| s / n));
+    let most = means.fold(f64::from(plan.present), f64::max).max(1.0) * 1.15;
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let title = format!("n{}-n{}: offered load by hour and kind of day", plan.ends.0, plan.ends.1);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(52)
+        .build_cartesian_2d(0.0..24.0, 0.0..most)?;
+    chart.configure_mesh().light_line_style(WHITE).x_desc("hour").y_desc("erlang").x_labels(13).draw()?;
+    for ((kind, minutes), colour) in kinds.iter().zip(COLOURS) {
+        let points = minutes.iter().map(|(m, (s, n))| (f64::from(*m) / 60.0, s / n));
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+            .label(*kind)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+    }
+    let circuits = f64::from(plan.present);
+    chart
+        .draw_series(DashedLineSeries::new([(0.0, circuits), (24.0, circuits)], 6, 4, BLACK.stroke_width(1)))?
+        .label("circuits present")
+        .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], BLACK));
+    let labels = &mut chart.configure_series_labels();
+    labels
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .position(SeriesLabelPosition::UpperLeft)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
+
+fn against_circuits(file: &Path, plan: &GroupPlan, aim: &Aim) -> Result<(), Error> {
+    let load = plan.hour.load;
+    let high = if load.high.is_finite() { load.high } else { 2.0 * load.mean };
+    let from = (load.low * 0.9).floor().max(0.0);
+    let to = f64::from(plan.needed.max(plan.present)) * 1.15 + 5.0;
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let title = format!("n{}-n{}: loss against circuits in the busy hour", plan.ends.0, plan.ends.1);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(62)
+        .build_cartesian_2d(from..to, (1e-6f64..1.0).log_scale())?;
+    chart.configure_mesh().light_line_style(WHITE).x_desc("circuits").y_desc("loss").draw()?;
+    for ((name, mean), colour) in
+        [("load", load.mean), ("lower end of its interval", load.low), ("upper end", high)]
+            .into_iter()
+            .zip(COLOURS)
+    {
+        let steps = (0..=120).map(|i| from + (to - from) * f64::from(i) / 120.0);
+        let points: Result<Vec<(f64, f64)>, trunks::BadFigure> =
+            steps.map(|n| Ok((n, overflow::loss(Stream::peaked(mean, aim.peakedness), n)?))).collect();
+        let points = points?.into_iter().filter(|(_, b)| *b >= 1e-6);
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+            .label(format!("{name}: {mean:.1} E"))
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+    }
+    for (name, at) in [("present", plan.present), ("needed", plan.needed)] {
+        let at = f64::from(at);
+        chart.draw_series(DashedLineSeries::new([(at, 1e-6), (at, 1.0)], 6, 4, BLACK.stroke_width(1)))?;
+        let place = (at, if name == "present" { 0.6 } else { 0.3 });
+        chart.draw_series([Text::new(format!(" {name}"), place, ("sans-serif", 13))])?;
+    }
+    chart.draw_series([PathElement::new([(from, aim.loss), (to, aim.loss)], BLACK.mix(0.4))])?;
+    let labels = &mut chart.configure_series_labels();
+    labels
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .position(SeriesLabelPosition::LowerLeft)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/rehearsal/src/audit.rs
@@ -0,0 +1,576 @@
+//! The auditor. It sees what passes on the wires and what the node register has told, knows nothing of any
+//! controller's inner state, and checks every rule. A breach is named with the call, the time and the messages
+//! that show it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use dillhold::directory::SLACK;
+use pitchgw::interface::Nanos;
+use serde::Serialize;
+
+use crate::script::Script;
+use crate::world::{MS, SEC};
+
+/// After the caller's deadline a final answer still counts for so long.
+pub const ANSWER_GRACE: Nanos = 20 * MS + SLACK;
+/// Nothing new goes to a node that drains or is gone, later than this after it was told.
+const DRAIN_GRACE: Nanos = 500 * MS + SLACK;
+/// What the register holds counts as told after this at the latest, whether it arrived or not.
+const TOLD_AT_LATEST: Nanos = 7 * SEC;
+/// After an attempt that may have left something behind the call is not sent for so long.
+const RELEASE_WAIT: Nanos = 300 * MS;
+/// A call that is over is released towards its caller within the first of these, or, where its exchange could
+/// not say so, within the second. Nobody can release what he cannot know to be over: where the register told of
+/// the machine's end later than that, the first counts from then.
+const RELEASED_WITHIN: [Nanos; 2] = [SEC + SLACK, 8 * SEC + SLACK];
+/// What is over is remembered for so long, for what crosses its end.
+const REMEMBERED: Nanos = 20 * SEC;
+/// Breaches that are written out in full; the others are counted.
+const WRITTEN_OUT: usize = 50;
+
+/// Messages of one call that are kept to show a breach.
+const MESSAGES: usize = 60;
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// Each call has one final answer, and no second one.
+    OneFinalAnswer,
+    /// It comes before the caller gives up.
+    AnswerInTime,
+    /// One attempt is out at a time.
+    OneAttemptOut,
+    /// Attempts are capped.
+    AttemptsCapped,
+    /// A call that has its final answer, or was given up, is not sent.
+    NothingAfterTheEnd,
+    /// Nothing new to a node that drains or is gone.
+    DrainKept,
+    /// The wait after a time-out, a reset or a cancel.
+    ReleaseWaited,
+    /// No cold processor is pushed over.
+    ColdBudget,
+    /// A call in transit goes to its destination only, and none to the own exchange.
+    Transit,
+    /// What stood and is over is released towards its caller in time.
+    ReleasePassed,
+    /// Ids, classes, numbers and descriptions pass unchanged, and answers are those of an exchange.
+    Unchanged,
+    /// What a controller writes can be read.
+    Readable,
+}
+
+impl Rule {
+    /// All of them.
+    pub const ALL: [Rule; 12] = [
+        Rule::OneFinalAnswer,
+        Rule::AnswerInTime,
+        Rule::OneAttemptOut,
+        Rule::AttemptsCapped,
+        Rule::NothingAfterTheEnd,
+        Rule::DrainKept,
+        Rule::ReleaseWaited,
+        Rule::ColdBudget,
+        Rule::Transit,
+        Rule::ReleasePassed,
+        Rule::Unchanged,
+        Rule::Readable,
+    ];
+}
+
+/// What passed on the wires, or was told.
+#[allow(missing_docs)]
+#[derive(Clone, Copy, Debug)]
+pub enum Seen<'a> {
+    /// A controller runs from now on.
+    Started { controller: usize },
+    /// It runs no more.
+    Killed { controller: usize },
+    /// A caller's set-up, or one in transit that came of another call.
+    CallerSetUp {
+        controller: usize,
+        id: u64,
+        class: &'a str,
+        number: &'a str,
+        description: &'a [u8],
+        wait: Nanos,
+        destination: usize,
+        transit: Option<u64>,
+    },
+    /// The caller waits no longer.
+    CallerGaveUp { controller: usize, id: u64 },
+    /// The caller's connection ended under its set-up.
+    CallerLost { controller: usize, id: u64 },
+    /// The controller said that the call stands.
+    CallerAnswered { controller: usize, id: u64, description: &'a [u8] },
+    /// The controller refused, failed or released it.
+    CallerReleased { controller: usize, id: u64, cause: u8, pause: Option<Nanos> },
+    /// A set-up reached a node.
+    Invite {
+        controller: usize,
+        node: usize,
+        machine: usize,
+        id: u64,
+        class: &'a str,
+        number: &'a str,
+        description: &'a [u8],
+    },
+    /// The controller gave the attempt up.
+    Cancel { controller: usize, id: u64 },
+    /// The connection that it was out on is gone.
+    AttemptLost { controller: usize, id: u64 },
+    /// The controller released what stands.
+    Bye { controller: usize, id: u64 },
+    /// The node's final response.
+    Response { controller: usize, id: u64, code: u16, cause: &'a str, description: &'a [u8] },
+    /// The node released what stood.
+    Released { controller: usize, id: u64, cause: u8 },
+    /// What stood at a node is over, whether it could say so or not.
+    Over { controller: usize, id: u64 },
+    /// The register's service holds news of a machine.
+    Held { controller: usize, machine: usize, state: &'static str },
+    /// It has told them.
+    Told { controller: usize, machine: usize, state: &'static str },
+}
+
+impl Seen<'_> {
+    fn call(&self) -> Option<(usize, u64)> {
+        match *self {
+            Seen::CallerSetUp { controller, id, .. }
+            | Seen::CallerGaveUp { controller, id }
+            | Seen::CallerLost { controller, id }
+            | Seen::CallerAnswered { controller, id, .. }
+            | Seen::CallerReleased { controller, id, .. }
+            | Seen::Invite { controller, id, .. }
+            | Seen::Cancel { controller, id }
+            | Seen::AttemptLost { controller, id }
+            | Seen::Bye { controller, id }
+            | Seen::Response { controller, id, .. }
+            | Seen::Released { controller, id, .. }
+            | Seen::Over { controller, id } => Some((controller, id)),
+            _ => None,
+        }
+    }
+
+    fn text(&self) -> String {
+        match *self {
+            Seen::CallerSetUp { class, number, wait, destination, transit, .. } => {
+                let from = transit.map_or(String::new(), |t| format!(", in transit for {t:016x}"));
+                format!("set-up of {class} to n{destination}, number {number}, waits {} ms{from}", wait / MS)
+            }
+            Seen::CallerGaveUp { .. } => "given up by its caller".into(),
+            Seen::CallerLost { .. } => "its caller's connection ended".into(),
+            Seen::CallerAnswered { description, .. } => {
+                format!("caller told: stands ({} bytes)", description.len())
+            }
+            Seen::CallerReleased { cause, pause, .. } => match pause {
+                Some(pause) => format!("caller told: release {cause}, come back after {} ms", pause / MS),
+                None => format!("caller told: release {cause}"),
+            },
+            Seen::Invite { node, machine, .. } => format!("INVITE to n{node} (machine {machine})"),
+            Seen::Cancel { .. } => "CANCEL".into(),
+            Seen::AttemptLost { .. } => "the connection of its attempt ended".into(),
+            Seen::Bye { .. } => "BYE from the controller".into(),
+            Seen::Response { code, cause, .. } => format!("response {code} {cause}").trim_end().into(),
+            Seen::Released { cause, .. } => format!("BYE from the node, cause {cause}"),
+            Seen::Over { .. } => "over at its node".into(),
+            _ => String::new(),
+        }
+    }
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, Serialize)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// By which controller.
+    pub controller: String,
+    /// The call, where there is one.
+    pub call: Option<String>,
+    /// When, in seconds from the start.
+    pub at: f64,
+    /// What happened.
+    pub what: String,
+    /// The messages of the call up to then.
+    pub messages: Vec<String>,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    class: String,
+    number: String,
+    description: Vec<u8>,
+    deadline: Nanos,
+    destination: usize,
+    transit: bool,
+    /// The final answer was given; the caller waits no longer; its set-up was lost with its controller.
+    answered: bool,
+    given_up: bool,
+    stands: bool,
+    out: bool,
+    attempts: u32,
+    /// When an attempt last ended that may have left something behind.
+    waits_from: Option<Nanos>,
+    /// Descriptions that exchanges answered with.
+    answers: Vec<Vec<u8>>,
+    /// The caller must be told that it is over by then, and the machine that could not say so.
+    release_by: Option<Nanos>,
+    unsaid_by: Option<usize>,
+    machine: usize,
+    /// The controller that had it is no more: its successor knows only what it is told.
+    orphaned: bool,
+    ended: bool,
+    messages: Vec<String>,
+}
+
+/// Sees everything and checks the rules.
+pub struct Auditor {
+    attempts: u32,
+    base: Option<Nanos>,
+    records: HashMap<(usize, u64), Record>,
+    /// When the records are looked at again.
+    due: BTreeSet<(Nanos, usize, u64)>,
+    /// By controller and machine, since when it counts as told that nothing new may go there.
+    closed: HashMap<(usize, usize), Nanos>,
+    /// When it was told that a machine has ended: by its absence, or by its next start.
+    told_end: HashMap<(usize, usize), Nanos>,
+    /// When machines started anew.
+    started: HashMap<usize, Nanos>,
+    /// Controllers that were told of a machine's latest start.
+    told_start: BTreeSet<(usize, usize)>,
+    counts: BTreeMap<Rule, u64>,
+    breaches: Vec<Breach>,
+    traced: BTreeSet<u64>,
+    trace: Vec<String>,
+}
+
+impl Auditor {
+    /// An auditor of this script's rules.
+    pub fn new(script: &Script) -> Auditor {
+        Auditor {
+            attempts: script.controllers.attempts,
+            base: None,
+            records: HashMap::new(),
+            due: BTreeSet::new(),
+            closed: HashMap::new(),
+            told_end: HashMap::new(),
+            started: HashMap::new(),
+            told_start: BTreeSet::new(),
+            counts: BTreeMap::new(),
+            breaches: Vec::new(),
+            traced: BTreeSet::new(),
+            trace: Vec::new(),
+        }
+    }
+
+    /// Writes down all that passes for a call, and for the calls in transit that come of it.
+    pub fn trace(&mut self, call: u64) {
+        self.traced.insert(call);
+    }
+
+    /// What was written down.
+    pub fn traced(&self) -> &[String] {
+        &self.trace
+    }
+
+    /// How often each rule was broken.
+    pub fn counts(&self) -> BTreeMap<Rule, u64> {
+        Rule::ALL.iter().map(|r| (*r, self.counts.get(r).copied().unwrap_or(0))).collect()
+    }
+
+    /// The first breaches, in full.
+    pub fn breaches(&self) -> &[Breach] {
+        &self.breaches
+    }
+
+    fn seconds(&self, now: Nanos) -> f64 {
+        now.saturating_sub(self.base.unwrap_or(now)) as f64 * 1e-9
+    }
+
+    fn breach(&mut self, now: Nanos, rule: Rule, (controller, id): (usize, Option<u64>), what: String) {
+        *self.counts.entry(rule).or_insert(0) += 1;
+        if self.breaches.len() < WRITTEN_OUT {
+            let record = id.and_then(|id| self.records.get(&(controller, id)));
+            self.breaches.push(Breach {
+                rule,
+                controller: format!("n{controller}"),
+                call: id.map(|id| format!("{id:016x}")),
+                at: self.seconds(now),
+                what,
+                messages: record.map(|r| r.messages.clone()).unwrap_or_default(),
+            });
+        }
+    }
+
+    /// A controller wrote what cannot be read.
+    pub fn unreadable(&mut self, now: Nanos, controller: usize) {
+        self.breach(now, Rule::Readable, (controller, None), "bytes that are no message".into());
+    }
+
+    /// A machine has started: who was told of an earlier start does not know of this one.
+    pub fn machine_started(&mut self, now: Nanos, machine: usize) {
+        self.started.insert(machine, now);
+        self.told_start.retain(|(_, m)| *m != machine);
+    }
+
+    /// A cold processor was pushed over by set-ups from these controllers. The rule is broken if two thirds of
+    /// them knew of its start.
+    pub fn fell_over(&mut self, now: Nanos, machine: usize, node: usize, from: &[usize]) {
+        let knew = from.iter().filter(|c| self.told_start.contains(&(**c, machine))).count();
+        if 3 * knew >= 2 * from.len() {
+            let what = format!("n{node} was pushed over: {} set-ups, {knew} by those who knew", from.len());
+            self.breach(now, Rule::ColdBudget, (from.last().copied().unwrap_or(node), None), what);
+        }
+    }
+
+    /// Lets time pass: what was due and has not come is a breach.
+    pub fn advance(&mut self, now: Nanos) {
+        while let Some(&(at, controller, id)) = self.due.first().filter(|d| d.0 < now) {
+            self.due.remove(&(at, controller, id));
+            let Some(record) = self.records.get_mut(&(controller, id)) else { continue };
+            if record.release_by.is_some_and(|by| by <= at) {
+                let unsaid = record.unsaid_by.map(|machine| self.told_end.get(&(controller, machine)));
+                let known = unsaid.map_or(at, |told| told.map_or(at + SEC, |t| t + RELEASED_WITHIN[0]));
+                if known > at {
+                    record.release_by = Some(known);
+                    self.due.insert((known, controller, id));
+                    continue;
+                }
+                record.release_by = None;
+                let what = "over, and its caller was not told in time".into();
+                self.breach(at, Rule::ReleasePassed, (controller, Some(id)), what);
+            } else if !record.answered && !record.given_up && record.deadline + ANSWER_GRACE <= at {
+                record.given_up = true;
+                let what = "no final answer before the caller gave up".into();
+                self.breach(at, Rule::AnswerInTime, (controller, Some(id)), what);
+            }
+            let record = &self.records[&(controller, id)];
+            if record.ended || record.given_up || record.answered && !record.stands {
+                if at > record.deadline + REMEMBERED {
+                    self.records.remove(&(controller, id));
+                } else {
+                    self.due.insert((at + REMEMBERED, controller, id));
+                }
+            }
+        }
+    }
+
+    /// The rehearsal is over.
+    pub fn close(&mut self, now: Nanos) {
+        self.advance(now);
+    }
+
+    /// Takes in what passed.
+    pub fn saw(&mut self, now: Nanos, seen: Seen<'_>) {
+        self.base.get_or_insert(now);
+        let Some(key) = seen.call() else { return self.told(now, seen) };
+        let line = || format!("{:9.4} n{} {:016x} {}", self.seconds(now), key.0, key.1, seen.text());
+        let line = line();
+        if let Seen::CallerSetUp { transit: Some(parent), id, .. } = seen {
+            if self.traced.contains(&parent) {
+                self.traced.insert(id);
+            }
+        }
+        if self.traced.contains(&key.1) {
+            self.trace.push(line.clone());
+        }
+        if let Some(record) = self.records.get_mut(&key) {
+            // Of a call without end the last messages show as much.
+            if record.messages.len() >= MESSAGES {
+                record.messages.remove(0);
+            }
+            record.messages.push(line);
+        } else if !matches!(seen, Seen::CallerSetUp { .. }) {
+            return self.unknown(now, key, seen);
+        }
+        self.call(now, key, seen);
+    }
+
+    fn unknown(&mut self, now: Nanos, (controller, id): (usize, u64), seen: Seen<'_>) {
+        let what = match seen {
+            Seen::Invite { .. } => "a set-up that no caller sent",
+            Seen::CallerAnswered { .. } => "an answer to a call that no caller made",
+            _ => return,
+        };
+        self.breach(now, Rule::Unchanged, (controller, Some(id)), what.into());
+    }
+
+    fn told(&mut self, now: Nanos, seen: Seen<'_>) {
+        match seen {
+            Seen::Killed { controller } => {
+                // What it had taken is lost with it, and what was said to it did not arrive.
+                for ((c, _), record) in &mut self.records {
+                    if *c == controller {
+                        record.given_up |= !record.answered;
+                        record.orphaned = true;
+                        record.release_by = None;
+                    }
+                }
+                self.closed.retain(|(c, _), _| *c != controller);
+                self.told_start.retain(|(c, _)| *c != controller);
+            }
+            Seen::Held { controller, machine, state } if state != "SERVING" => {
+                let at = self.closed.entry((controller, machine)).or_insert(now + TOLD_AT_LATEST);
+                *at = (*at).min(now + TOLD_AT_LATEST);
+            }
+            Seen::Told { controller, machine, state: "SERVING" } => {
+                self.closed.remove(&(controller, machine));
+                if self.started.contains_key(&machine) {
+                    self.told_end.insert((controller, machine), now);
+                    self.told_start.insert((controller, machine));
+                }
+            }
+            Seen::Told { controller, machine, state } => {
+                if state == "DELETED" {
+                    self.told_end.insert((controller, machine), now);
+                }
+                let at = self.closed.entry((controller, machine)).or_insert(now);
+                *at = (*at).min(now);
+            }
+            _ => {}
+        }
+    }
+
+    fn call(&mut self, now: Nanos, key: (usize, u64), seen: Seen<'_>) {
+        let place = (key.0, Some(key.1));
+        match seen {
+            Seen::CallerSetUp { class, number, description, wait, destination, transit, .. } => {
+                let deadline = now + wait;
+                let record = Record {
+                    class: class.into(),
+                    number: number.into(),
+                    description: description.into(),
+                    deadline,
+                    destination,
+                    transit: transit.is_some(),
+                    messages: vec![format!(
+                        "{:9.4} n{} {:016x} {}",
+                        self.seconds(now),
+                        key.0,
+                        key.1,
+                        seen.text()
+                    )],
+                    ..Record::default()
+                };
+                self.records.insert(key, record);
+                self.due.insert((deadline + ANSWER_GRACE, key.0, key.1));
+                return;
+            }
+            Seen::Invite { node, machine, class, number, description, .. } => {
+                return self.invite(now, key, (node, machine), (class, number, description));
+            }
+            _ => {}
+        }
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let mut broken = None;
+        match seen {
+            Seen::CallerGaveUp { .. } | Seen::CallerLost { .. } => {
+                let lost = matches!(seen, Seen::CallerLost { .. }) && !record.answered && !record.given_up;
+                let late = now >= record.deadline + ANSWER_GRACE && !record.answered && !record.given_up;
+                record.given_up = true;
+                if late {
+                    broken = Some((Rule::AnswerInTime, "no final answer before the caller gave up"));
+                } else if lost {
+                    broken = Some((Rule::OneFinalAnswer, "its connection was closed and no answer given"));
+                }
+            }
+            Seen::CallerAnswered { description, .. } => {
+                if record.answered {
+                    broken = Some((Rule::OneFinalAnswer, "a second final answer"));
+                } else if record.given_up {
+                    // It crossed the caller's giving up: nothing is owed, and nothing stands.
+                } else if now > record.deadline + ANSWER_GRACE {
+                    broken = Some((Rule::AnswerInTime, "the answer came after the caller gave up"));
+                } else if !record.answers.iter().any(|a| a == description) {
+                    broken = Some((Rule::Unchanged, "the answer is not one that an exchange gave"));
+                }
+                record.stands |= !record.answered && !record.given_up;
+                record.answered = true;
+            }
+            // A successor passes on what it never saw; that its predecessor had failed the call it cannot know.
+            Seen::CallerReleased { .. } if record.stands || record.orphaned => {
+                (record.ended, record.release_by) = (true, None);
+            }
+            Seen::CallerReleased { .. } => {
+                if record.answered {
+                    broken = Some((Rule::OneFinalAnswer, "a second final answer"));
+                } else if !record.given_up && now > record.deadline + ANSWER_GRACE {
+                    broken = Some((Rule::AnswerInTime, "the answer came after the caller gave up"));
+                }
+                record.answered = true;
+            }
+            Seen::Cancel { .. } => (record.out, record.waits_from) = (false, Some(now)),
+            Seen::AttemptLost { .. } if record.out => (record.out, record.waits_from) = (false, Some(now)),
+            Seen::Bye { .. } => (record.ended, record.release_by) = (true, None),
+            Seen::Response { code, description, .. } => {
+                record.out = false;
+                match code {
+                    200 => record.answers.push(description.to_vec()),
+                    504 => record.waits_from = Some(now),
+                    _ => {}
+                }
+            }
+            Seen::Released { .. } | Seen::Over { .. } => {
+                let said = matches!(seen, Seen::Released { .. });
+                let by = now + RELEASED_WITHIN[usize::from(!said)];
+                if record.stands && !record.ended && (said || !record.orphaned) {
+                    if !said && record.release_by.is_none() {
+                        record.unsaid_by = Some(record.machine);
+                    } else if said {
+                        record.unsaid_by = None;
+                    }
+                    let by = record.release_by.map_or(by, |known| known.min(by));
+                    record.release_by = Some(by);
+                    self.due.insert((by, key.0, key.1));
+                }
+            }
+            _ => {}
+        }
+        if let Some((rule, what)) = broken {
+            self.breach(now, rule, place, what.into());
+        }
+    }
+
+    fn invite(
+        &mut self,
+        now: Nanos,
+        key: (usize, u64),
+        (node, machine): (usize, usize),
+        (class, number, description): (&str, &str, &[u8]),
+    ) {
+        let (cap, place) = (self.attempts, (key.0, Some(key.1)));
+        let closed = self.closed.get(&(key.0, machine)).copied();
+        let Some(record) = self.records.get_mut(&key) else { return };
+        let mut broken = Vec::new();
+        if (record.class.as_str(), record.number.as_str(), &record.description[..])
+            != (class, number, description)
+        {
+            broken.push((Rule::Unchanged, "the set-up differs from the caller's"));
+        }
+        if record.answered || record.given_up {
+            broken.push((Rule::NothingAfterTheEnd, "a set-up after the call's end"));
+        }
+        if record.out {
+            broken.push((Rule::OneAttemptOut, "a second attempt while one is out"));
+        }
+        record.attempts += 1;
+        if record.attempts > cap {
+            broken.push((Rule::AttemptsCapped, "one attempt too many"));
+        }
+        if record.waits_from.is_some_and(|from| now < from + RELEASE_WAIT) {
+            broken.push((Rule::ReleaseWaited, "sent again before what it held is surely free"));
+        }
+        if node == key.0 || record.transit && node != record.destination {
+            broken.push((Rule::Transit, "sent where it may not go"));
+        }
+        if closed.is_some_and(|at| now > at + DRAIN_GRACE) {
+            broken.push((Rule::DrainKept, "sent to a node told to drain or to be gone"));
+        }
+        (record.out, record.machine) = (true, machine);
+        for (rule, what) in broken {
+            self.breach(now, rule, place, what.into());
+        }
+    }
+}
--- /dev/null
+++ b/rehearsal/src/plots.rs
@@ -0,0 +1,177 @@
+//! Pictures of a report, as SVG: worth over time with the incident drawn in, the wait at each processor, and the
+//! set-ups that reach cold nodes beside what they may be sent.
+
+use std::path::{Path, PathBuf};
+
+use plotters::coord::Shift;
+use plotters::prelude::*;
+
+use crate::report::{Report, Run};
+
+const SIZE: (u32, u32) = (1100, 420);
+/// Nodes whose wait is drawn as a line of their own; past these the median and the longest are drawn.
+const MOST_LINES: usize = 12;
+
+type Error = Box<dyn std::error::Error>;
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+
+/// Colours that can be told apart, by number.
+fn colour(n: usize) -> RGBColor {
+    const COLOURS: [(u8, u8, u8); 12] = [
+        (31, 119, 180),
+        (214, 39, 40),
+        (44, 160, 44),
+        (148, 103, 189),
+        (255, 127, 14),
+        (23, 190, 207),
+        (140, 86, 75),
+        (227, 119, 194),
+        (127, 127, 127),
+        (188, 189, 34),
+        (0, 0, 128),
+        (0, 100, 60),
+    ];
+    let (r, g, b) = COLOURS[n % COLOURS.len()];
+    RGBColor(r, g, b)
+}
+
+/// Draws all pictures into a folder, which is made if need be; tells the files.
+pub fn draw(report: &Report, folder: &Path) -> Result<Vec<PathBuf>, Error> {
+    std::fs::create_dir_all(folder)?;
+    let Some(run) = report.runs.first() else { return Ok(Vec::new()) };
+    let files = ["worth.svg", "wait.svg", "cold.svg"].map(|f| folder.join(f));
+    on(&files[0], |area| worth(area, report))?;
+    on(&files[1], |area| wait(area, report, run))?;
+    on(&files[2], |area| cold(area, report, run))?;
+    Ok(files.to_vec())
+}
+
+fn on(file: &Path, draw: impl FnOnce(&Area<'_>) -> Result<(), Error>) -> Result<(), Error> {
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    draw(&area)?;
+    area.present()?;
+    Ok(())
+}
+
+/// A chart over the time of the rehearsal, with the incident's bands behind it, each labelled in a row of its
+/// own at the top.
+macro_rules! chart {
+    ($area:expr, $report:expr, $title:expr, $most:expr, $y:expr) => {{
+        let most: f64 = $most;
+        let rows = $report.bands.len().min(8) as f64;
+        let head = most * (1.0 + 0.07 * rows);
+        let mut chart = ChartBuilder::on($area)
+            .caption($title, ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(36)
+            .y_label_area_size(52)
+            .build_cartesian_2d(0.0..$report.seconds, 0.0..head)?;
+        chart.configure_mesh().light_line_style(WHITE).x_desc("seconds").y_desc($y).draw()?;
+        for (i, band) in $report.bands.iter().enumerate() {
+            let row = (i % 8) as f64;
+            let shade = colour(i + 1).mix(0.10).filled();
+            let to = band.to.max(band.from + $report.seconds * 0.002);
+            chart.draw_series([Rectangle::new([(band.from, 0.0), (to, head)], shade)])?;
+            let at = (band.from, head - most * 0.07 * (row + 0.15));
+            let style = ("sans-serif", 13).into_font().color(&colour(i + 1));
+            chart.draw_series([Text::new(band.kind.clone(), at, style)])?;
+        }
+        chart
+    }};
+}
+
+fn worth(area: &Area<'_>, report: &Report) -> Result<(), Error> {
+    let share = report.windows.iter().enumerate().filter(|(_, w)| w.offered > 0.0);
+    let share: Vec<(f64, f64)> = share.map(|(s, w)| (s as f64 + 0.5, w.earned / w.offered)).collect();
+    let title =
+        format!("{}: worth earned of worth offered, {:.4} in all", report.script, report.service_worth);
+    let mut chart = chart!(area, report, title, 1.0, "share of worth");
+    let smooth = share.iter().enumerate().map(|(i, (t, _))| {
+        let around = &share[i.saturating_sub(2)..(i + 3).min(share.len())];
+        (*t, around.iter().map(|p| p.1).sum::<f64>() / around.len() as f64)
+    });
+    chart
+        .draw_series(LineSeries::new(share.iter().copied(), BLUE.mix(0.35)))?
+        .label("each second")
+        .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], BLUE.mix(0.35)));
+    chart
+        .draw_series(LineSeries::new(smooth, BLUE.stroke_width(2)))?
+        .label("mean of five seconds")
+        .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], BLUE.stroke_width(2)));
+    let place = SeriesLabelPosition::LowerRight;
+    chart
+        .configure_series_labels()
+        .position(place)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    Ok(())
+}
+
+fn wait(area: &Area<'_>, report: &Report, run: &Run) -> Result<(), Error> {
+    let most = run.nodes.iter().flat_map(|n| &n.wait).fold(0.1, |a: f64, b| a.max(*b));
+    let title = format!("{}: wait at each node's processor (seed {})", report.script, run.seed);
+    let mut chart = chart!(area, report, title, most, "seconds");
+    let mut lines: Vec<(String, Vec<f64>)> = Vec::new();
+    if run.nodes.len() <= MOST_LINES {
+        lines.extend(run.nodes.iter().map(|n| (n.name.clone(), n.wait.clone())));
+    } else {
+        let seconds = run.nodes[0].wait.len();
+        let sorted = |s: usize| {
+            let mut all: Vec<f64> = run.nodes.iter().map(|n| n.wait[s]).collect();
+            all.sort_by(f64::total_cmp);
+            all
+        };
+        lines.push(("longest".into(), (0..seconds).map(|s| sorted(s)[run.nodes.len() - 1]).collect()));
+        lines.push(("median".into(), (0..seconds).map(|s| sorted(s)[run.nodes.len() / 2]).collect()));
+    }
+    for (i, (name, wait)) in lines.into_iter().enumerate() {
+        let points = wait.into_iter().enumerate().map(|(s, w)| (s as f64 + 0.5, w));
+        let colour = colour(i);
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(1)))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+    }
+    let place = SeriesLabelPosition::MiddleRight;
+    chart
+        .configure_series_labels()
+        .position(place)
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    Ok(())
+}
+
+fn cold(area: &Area<'_>, report: &Report, run: &Run) -> Result<(), Error> {
+    let nodes: Vec<_> = run.nodes.iter().filter(|n| !n.cold.is_empty()).collect();
+    let most = nodes.iter().flat_map(|n| &n.cold).fold(1.0, |a: f64, c| a.max(c.1).max(c.2));
+    let title = match nodes.len() {
+        0 => format!("{}: no node was cold", report.script),
+        _ => format!("{}: set-ups to each cold node (dashed: what it may be sent)", report.script),
+    };
+    let mut chart = chart!(area, report, title, most, "set-ups within the window");
+    for (i, node) in nodes.iter().take(MOST_LINES).enumerate() {
+        let colour = colour(i);
+        // A node that is cold twice has two stretches, which no line joins.
+        let parts: Vec<_> = node.cold.chunk_by(|a, b| b.0 - a.0 < 1.5).collect();
+        for (part_no, part) in parts.into_iter().enumerate() {
+            let came = part.iter().map(|c| (c.0, c.1));
+            let drawn = chart.draw_series(LineSeries::new(came, colour.stroke_width(2)))?;
+            if part_no == 0 {
+                drawn
+                    .label(&node.name)
+                    .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+            }
+            let budget = part.iter().map(|c| (c.0, c.2));
+            chart.draw_series(DashedLineSeries::new(budget, 6, 5, colour.stroke_width(1)))?;
+        }
+    }
+    if !nodes.is_empty() {
+        let place = SeriesLabelPosition::MiddleRight;
+        let labels = &mut chart.configure_series_labels();
+        labels.position(place).background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/rehearsal/src/world/incidents.rs
@@ -0,0 +1,255 @@
+//! Carries out the events of a script. Each leaves its mark where it strikes and takes it away at its end, so
+//! that events may overlap in any order: factors multiply, and what stops something stops it until its own end.
+
+use std::collections::BTreeSet;
+
+use pitchgw::interface::Nanos;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::nodes::Machine;
+use super::{nanos, Act, Due, Reach, World, MS};
+use crate::script::{Event, Kind, Script, DOWN, DRAIN};
+
+/// After a controller was told to end callers are sent to it for so long.
+const FRONT_NOTICES: Nanos = 400 * MS;
+
+/// A moment in the course of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    Begin,
+    /// What was announced comes to pass.
+    Stop,
+    /// What was stopped starts again.
+    Start,
+    /// A pause is over.
+    Move,
+    End,
+}
+
+/// The nodes that each event strikes.
+pub(super) fn struck(script: &Script, mut rng: ChaCha8Rng) -> Vec<Vec<usize>> {
+    let all: Vec<usize> = (0..script.nodes as usize).collect();
+    let mut draw = |event: &Event| -> Vec<usize> {
+        if let Some(names) = &event.nodes {
+            return all.iter().copied().filter(|n| names.contains(&format!("n{n}"))).collect();
+        }
+        if let Some(names) = &event.regions {
+            let inside = |n: &usize| names.contains(&script.regions[script.region(*n)]);
+            return all.iter().copied().filter(inside).collect();
+        }
+        let Some(share) = event.share else { return all.clone() };
+        let mut drawn = all.clone();
+        drawn.shuffle(&mut rng);
+        drawn.truncate(((all.len() as f64 * share.0).round() as usize).max(1));
+        drawn.sort_unstable();
+        drawn
+    };
+    script.events.iter().map(&mut draw).collect()
+}
+
+impl World {
+    pub(super) fn schedule_events(&mut self) {
+        for (number, event) in self.script.events.clone().into_iter().enumerate() {
+            let at = self.base + nanos(event.at.0);
+            if at >= self.offers_until {
+                continue; // the short form ends before
+            }
+            let stagger = nanos(event.stagger.map_or(0.0, |s| s.0));
+            let nodes = match event.kind {
+                Kind::LoseCircuits | Kind::IgnoreAdvice => vec![0],
+                _ => self.struck[number].clone(),
+            };
+            for (i, node) in nodes.into_iter().enumerate() {
+                self.at(at + stagger * i as Nanos, Due::Event(number, node, Phase::Begin));
+                if let Some(lasts) = event.lasts {
+                    self.at(at + nanos(lasts.0), Due::Event(number, node, Phase::End));
+                }
+            }
+        }
+    }
+
+    pub(super) fn event(&mut self, number: usize, node: usize, phase: Phase) {
+        let event = self.script.events[number].clone();
+        let span = |s: Option<crate::script::Seconds>, usual| nanos(s.map_or(usual, |s| s.0));
+        match (event.kind, phase) {
+            (Kind::RestartCold, Phase::Begin) => {
+                if self.nodes[node].alive {
+                    self.stop_node(node, Reach::Refused);
+                    self.later(span(event.down, DOWN), Due::Event(number, node, Phase::Start));
+                }
+            }
+            (Kind::RestartCold, _) => {
+                let machine = self.serving[node];
+                self.start_node(node, machine);
+            }
+            // What does not run has nothing to drain.
+            (Kind::Replace | Kind::Drain, Phase::Begin) if !self.nodes[node].alive => {}
+            (Kind::Replace | Kind::Drain, Phase::Begin) => {
+                let (machine, late) = (self.serving[node], self.script.journal.notice);
+                self.tell_journals(machine, "DRAINING", late);
+                self.later(span(event.drain, DRAIN), Due::Event(number, node, Phase::Stop));
+            }
+            (Kind::Replace | Kind::Drain, Phase::Stop) => {
+                let (machine, late) = (self.serving[node], self.script.journal.notice);
+                self.stop_node(node, Reach::Refused);
+                self.tell_journals(machine, "DELETED", late);
+                if event.kind == Kind::Replace {
+                    self.later(span(event.down, DOWN), Due::Event(number, node, Phase::Start));
+                }
+            }
+            (Kind::Drain | Kind::Vanish, Phase::End) => self.new_machine(node, false),
+            (Kind::Replace | Kind::Drain, _) => self.new_machine(node, event.same_address == Some(true)),
+            (Kind::Vanish, _) => {
+                if self.nodes[node].alive {
+                    let (machine, late) = (self.serving[node], self.script.journal.silent);
+                    self.stop_node(node, Reach::Never);
+                    self.tell_journals(machine, "DELETED", late);
+                }
+            }
+            (Kind::Hang, _) => {
+                self.book_work(node);
+                let hung = &mut self.nodes[node].hung;
+                *hung = if phase == Phase::Begin { *hung + 1 } else { hung.saturating_sub(1) };
+                self.speed_changed(node);
+            }
+            (Kind::Pauses, _) => self.pauses(number, node, phase, &event),
+            (Kind::Slow, _) => {
+                self.book_work(node);
+                match (phase, event.factor) {
+                    (Phase::Begin, Some(factor)) => self.nodes[node].slow.insert(number, factor.0),
+                    _ => self.nodes[node].slow.remove(&number),
+                };
+                self.speed_changed(node);
+            }
+            (Kind::LoseCircuits, _) => self.circuits(),
+            (Kind::SilentConnections, _) => {
+                for wire in self.wires_to(node) {
+                    if let Some(w) = self.wires.get_mut(&wire) {
+                        w.mute = true;
+                    }
+                }
+            }
+            (Kind::ResetConnections, _) => {
+                self.wires_to(node).into_iter().for_each(|wire| self.hang_up(wire));
+            }
+            (Kind::JournalBroken, Phase::Begin) => {
+                self.services[node].broken += 1;
+                self.journal_breaks(node);
+            }
+            (Kind::JournalBroken, _) => {
+                self.services[node].broken -= 1;
+                self.journal_back(node);
+            }
+            (Kind::JournalSilent, Phase::Begin) => self.services[node].silent += 1,
+            (Kind::JournalSilent, _) => {
+                self.services[node].silent -= 1;
+                self.journal_back(node);
+            }
+            (Kind::ControllerKilled, Phase::Begin) => {
+                if std::mem::take(&mut self.running[node]) {
+                    self.fronted[node] = false;
+                    self.acts.push_back(Act::Kill(node));
+                    self.controller_gone(node);
+                    self.later(span(event.down, DOWN), Due::Event(number, node, Phase::Start));
+                }
+            }
+            (Kind::ControllerKilled, _) => self.start_controller(node),
+            (Kind::ControllerRestarted, _) => {
+                if self.running[node] && self.fronted[node] {
+                    self.acts.push_back(Act::End(node));
+                    self.later(FRONT_NOTICES, Due::Front(node));
+                }
+            }
+            (Kind::Demand, _) => {
+                let demand = &mut self.callers.demand[node];
+                match (phase, event.times) {
+                    (Phase::Begin, Some(times)) => demand.insert(number, times.0),
+                    _ => demand.remove(&number),
+                };
+            }
+            (Kind::IgnoreAdvice, _) => {
+                let ignoring = &mut self.callers.ignoring;
+                *ignoring = if phase == Phase::Begin { *ignoring + 1 } else { ignoring.saturating_sub(1) };
+            }
+        }
+    }
+
+    fn pauses(&mut self, number: usize, node: usize, phase: Phase, event: &Event) {
+        let Some((every, length)) = event.every.zip(event.length) else { return };
+        match phase {
+            Phase::Begin if self.seconds() < event.ends() => {
+                self.book_work(node);
+                self.nodes[node].paused += 1;
+                self.later(nanos(length.0), Due::Event(number, node, Phase::Move));
+                self.later(nanos(every.0), Due::Event(number, node, Phase::Begin));
+            }
+            Phase::Move => {
+                self.nodes[node].paused = self.nodes[node].paused.saturating_sub(1);
+                self.speed_changed(node);
+            }
+            _ => {}
+        }
+    }
+
+    fn start_node(&mut self, node: usize, machine: usize) {
+        let n = &mut self.nodes[node];
+        if n.alive || n.fallen && self.serving[node] == machine {
+            return; // it runs, or was pushed over and stays down
+        }
+        (n.alive, n.fallen, n.cold_since) = (true, false, Some(self.now));
+        self.serving[node] = machine;
+        let m = &mut self.machines[machine];
+        (m.reach, m.boot) = (Reach::Up, Some(self.now));
+        self.audit.machine_started(self.now, machine);
+        let late = self.script.journal.start;
+        self.tell_journals(machine, "SERVING", late);
+        self.speed_changed(node);
+    }
+
+    /// Another machine takes a node's place.
+    fn new_machine(&mut self, node: usize, same_address: bool) {
+        if self.nodes[node].alive {
+            return;
+        }
+        let number = self.machines.len();
+        let address_of = if same_address { self.machines[self.serving[node]].address_of } else { number };
+        self.machines.push(Machine::new(number, node, address_of, Some(self.now)));
+        self.start_node(node, number);
+    }
+
+    /// Circuits that are left after all losses that hold now; the shares of several multiply.
+    fn circuits(&mut self) {
+        let now = self.seconds();
+        let holds = |e: &Event| e.kind == Kind::LoseCircuits && e.at.0 <= now && now < e.ends() - 1e-9;
+        let losses = self.script.events.iter().zip(&self.struck);
+        let losses: Vec<(f64, BTreeSet<usize>)> = losses
+            .filter(|(e, _)| holds(e))
+            .map(|(e, nodes)| (e.kept.map_or(1.0, |k| k.0), nodes.iter().copied().collect()))
+            .collect();
+        let nodes = self.nodes.len();
+        for a in 0..nodes {
+            for b in a + 1..nodes {
+                let hit = |s: &BTreeSet<usize>| s.len() == nodes || s.contains(&a) != s.contains(&b);
+                let share: f64 = losses.iter().filter(|(_, s)| hit(s)).map(|(kept, _)| kept).product();
+                let before = self.network.group(a, b).kept;
+                let over = self.network.keep(a, b, share);
+                if over > 0 {
+                    let mut legs = self.standing_between(a, b);
+                    legs.shuffle(&mut self.rng);
+                    for leg in legs {
+                        let group = self.network.group(a, b);
+                        if group.used <= group.kept {
+                            break;
+                        }
+                        self.cut(leg);
+                    }
+                }
+                if self.network.group(a, b).kept != before {
+                    self.tell_group(a, b);
+                    self.tell_group(b, a);
+                }
+            }
+        }
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -147,9 +147,9 @@
         self.last.filter(|l| secs(now - l.at) < (l.took * rho).min(l.valid))
     }
 
-    /// The least round trip in seconds, as far as it may be trusted. Only an answer lowers it: a first answer
-    /// that came late after a hang once closed its route for good, for nothing was sent to be answered sooner.
-    /// So on a route that nothing was sent on for long a call tries again. The load keeps its say.
+    /// The least round trip in seconds, as far as it may be trusted. Only an answer lowers it: one that came
+    /// late after a hang once closed its route for good, for nothing was sent to be answered sooner. So on a
+    /// route that nothing was sent on for long a call tries again. The load keeps its say.
     fn trusted_least(&self, now: Nanos, load: Load) -> f64 {
         let untried = secs(now - self.used) > UNTRIED_AIMS * load.aim;
         let most = if untried { UNTRIED_LEAST * load.aim } else { f64::INFINITY };
