--- a/ctl/tests/command_line.rs
+++ b/ctl/tests/command_line.rs
@@ -80,3 +80,98 @@
         ["set-up of", "INVITE to", "response 200", "caller told: stands", "over at its node"].map(line);
     assert!(order.iter().all(Option::is_some) && order.is_sorted(), "{order:?} in {text}");
 }
+
+/// Four weeks at both ends of one group: 5 E by day, 60 E on Saturday late mornings, on 60 circuits.
+fn four_weeks(folder: &Path) {
+    use measured::record::{encode, ClassFigures, GroupFigures, Holding, Interval};
+    let (quarter, monday) = (900_000i64, 1_777_845_600_000i64); // 2026-05-04 00:00 in Prague
+    for n in 0..28 * 96i64 {
+        let (day, part) = (n / 96, n % 96);
+        let peak = day % 7 == 5 && (40..48).contains(&part);
+        let calls = if peak { 270 } else { 22 };
+        for (exchange, to) in [(1, 2), (2, 1)] {
+            let from = monday + n * quarter;
+            let class =
+                ClassFigures { class: "result-view".into(), width: 1, offered: calls, ..Default::default() };
+            let group = GroupFigures {
+                to,
+                circuits: 60.0,
+                observed: 900.0,
+                classes: vec![class],
+                ..Default::default()
+            };
+            let held = Holding {
+                class: "result-view".into(),
+                calls,
+                seconds: 100.0 * calls as f64,
+                squares: 20_000.0 * calls as f64,
+                quantiles: [69.0, 230.0, 460.0],
+            };
+            let interval = Interval {
+                exchange,
+                from,
+                to: from + quarter,
+                measured: (from, from + quarter),
+                time_zone: "Europe/Prague".into(),
+                groups: vec![group],
+                holding: vec![held],
+                uncounted: 0,
+            };
+            std::fs::write(folder.join(interval.file_name()), encode(&interval)).unwrap();
+        }
+    }
+}
+
+#[test]
+fn circuits_are_reckoned_from_files_and_a_bad_file_is_named_and_skipped() {
+    let folder = tempfile::tempdir().unwrap();
+    let files = folder.path().join("intervals");
+    std::fs::create_dir(&files).unwrap();
+    four_weeks(&files);
+    let (out, plots) = (folder.path().join("plan.json"), folder.path().join("plots"));
+    let text = |p: &Path| p.to_str().unwrap().to_string();
+    let arguments =
+        ["dimension", &text(&files), "--loss", "0.01", "--json", &text(&out), "--plots", &text(&plots)];
+    let output = ctl(&arguments);
+    assert_eq!(output.status.code(), Some(0), "{}", error(&output));
+    let plan: serde_json::Value = serde_json::from_slice(&std::fs::read(&out).unwrap()).unwrap();
+    let group = &plan["groups"][0];
+    assert_eq!((&group["needed"], &group["present"]), (&75.into(), &60.into()), "{group}");
+    assert_eq!(group["hour"]["kind"], "saturday");
+    assert_eq!(group["verdict"], "enlarge");
+    assert!(plots.join("load-n1-n2.svg").is_file() && plots.join("loss-n1-n2.svg").is_file());
+    let printed = String::from_utf8_lossy(&output.stdout).into_owned();
+    println!("{printed}");
+    assert!(printed.contains("n1-n2") && printed.contains("sat 10:"), "{printed}");
+
+    let bad = files.join("n00001-000000000000000.interval");
+    let whole = std::fs::read(std::fs::read_dir(&files).unwrap().next().unwrap().unwrap().path()).unwrap();
+    std::fs::write(&bad, &whole[..whole.len() / 2]).unwrap();
+    let output = ctl(&arguments);
+    assert_eq!(output.status.code(), Some(3));
+    assert!(error(&output).contains("n00001-000000000000000.interval: cut off"), "{}", error(&output));
+    let only_bad = ctl(&["dimension", &text(&bad)]);
+    assert_eq!(only_bad.status.code(), Some(2));
+    assert_eq!(ctl(&["dimension", &text(&files), "--loss", "1.5"]).status.code(), Some(2));
+    assert_eq!(ctl(&["dimension", &text(&files), "--day", "sunday"]).status.code(), Some(2));
+}
+
+#[test]
+fn single_figures_are_bare_on_the_last_line() {
+    let last = |arguments: &[&str]| {
+        let output = ctl(&[&["erlang"], arguments].concat());
+        assert!(output.status.success(), "{}", error(&output));
+        String::from_utf8_lossy(&output.stdout).lines().last().unwrap().to_string()
+    };
+    assert_eq!(last(&["--offered", "60", "--loss", "0.01"]), "75");
+    let loss: f64 = last(&["--offered", "12.031", "--circuits", "20"]).parse().unwrap();
+    assert!((loss - 0.01).abs() < 1e-4);
+    let peaked: u32 = last(&["--offered", "60", "--loss", "0.01", "--peakedness", "2"]).parse().unwrap();
+    assert!(peaked > 80);
+    assert_eq!(last(&["--offered", "0", "--loss", "0.01"]), "0");
+    for bad in
+        [&["--offered", "-1", "--loss", "0.01"][..], &["--offered", "5"], &["--offered", "5", "--loss", "2"]]
+    {
+        assert_eq!(ctl(&[&["erlang"], bad].concat()).status.code(), Some(2), "{bad:?}");
+    }
+}
--- a/rehearsal/src/script.rs
+++ b/rehearsal/src/script.rs
@@ -165,6 +165,8 @@
         drift_every: Factor = Factor(13.5),
         /// Traffic inside a region, as a multiple of that between regions.
         local: Factor = Factor(1.8),
+        /// Whether nodes carry calls in transit; if not, they turn them back at once.
+        transit: bool = true,
         /// Seconds after a set-up was called off until its circuits are free.
         frees_after: Seconds = Seconds(0.15),
     }
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -438,6 +438,9 @@
         if !self.nodes[controller].alive {
             return self.respond(id, 480, "overload");
         }
+        if node != destination && !self.script.groups.transit {
+            return self.respond(id, 503, "turned_back");
+        }
         if node == controller || self.network.group(controller, node).free() < width {
             return self.respond(id, 480, "no_circuit");
         }
--- a/trunks/src/busy.rs
+++ b/trunks/src/busy.rs
@@ -174,7 +174,9 @@
             // An hour that few of the days have tells of those few.
             let common = by_minute.into_iter().filter(|(_, hours)| 2 * hours.len() > most);
             let means = common.map(|(minute, hours)| mean(kind.clone(), minute, hours));
-            means.max_by(|a, b| a.load.mean.total_cmp(&b.load.mean))
+            // Of equal hours the first.
+            means
+                .reduce(|best, hour| if hour.load.mean > best.load.mean * (1.0 + 1e-9) { hour } else { best })
         }
         Rule::Nth(n) => {
             let days = by_minute.values().map(Vec::len).max()?;
--- a/trunks/src/erlang.rs
+++ b/trunks/src/erlang.rs
@@ -101,6 +101,9 @@
 pub fn circuits(load: f64, most_loss: f64) -> Result<u64, BadFigure> {
     check_load(load)?;
     check_loss(most_loss)?;
+    if load == 0.0 {
+        return Ok(0); // nothing is offered, so nothing is lost
+    }
     let (mut b, mut n) = (1.0, 0u64);
     while b > most_loss {
         n += 1;
