Say what the whole network loses, take a loss per class, and measure in rehearsals

Need: a plan by single groups hides what tandems carry and the second state of a network without reserved circuits. Tests: the running interval is written whole at the end of the program, a folder that cannot be made stops the start.

--- a/ctl/src/dimension.rs
+++ b/ctl/src/dimension.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use trunks::busy::{busy_hours, BusyHour, NamedDays, Rule, DAYS_WANTED};
 use trunks::offered::{by_group, Ends, GroupLoad};
-use trunks::plan::{size, spread, Aim, GroupPlan, Verdict};
+use trunks::plan::{network, size, spread, Aim, GroupPlan, Verdict};
 
 use crate::dimension_plots;
 
@@ -26,6 +26,9 @@
     /// The loss of any class at the most.
     #[arg(long, default_value_t = 0.01)]
     loss: f64,
+    /// The loss of one class, where it differs: result-post=0.002. May be given again.
+    #[arg(long, value_name = "CLASS=LOSS", value_parser = class_loss)]
+    class_loss: Vec<(String, f64)>,
     /// Take the N-th highest hour of each kind of day, and not the time-consistent busy hour.
     #[arg(long, value_name = "N", value_parser = clap::value_parser!(u32).range(1..=1000))]
     nth: Option<u32>,
@@ -46,6 +49,13 @@
     plots: Option<PathBuf>,
 }
 
+fn class_loss(text: &str) -> Result<(String, f64), String> {
+    let parts = text.split_once('=').filter(|(name, _)| !name.is_empty());
+    let loss = parts.and_then(|(name, loss)| Some((name.to_string(), loss.parse::<f64>().ok()?)));
+    loss.filter(|(_, loss)| *loss > 0.0 && *loss < 1.0)
+        .ok_or_else(|| format!("'{text}': a class and a loss are needed, as result-post=0.002"))
+}
+
 fn named_day(text: &str) -> Result<((i16, i8, i8), String), String> {
     let wrong = || format!("'{text}': a date and a name are needed, as 2026-05-09=race");
     let (date, name) = text.split_once('=').filter(|(_, n)| !n.is_empty()).ok_or_else(wrong)?;
@@ -75,11 +85,42 @@
     skipped: Vec<Skipped>,
     time_zone: String,
     groups: Vec<GroupPlan>,
+    /// The whole network at the circuits there are, blocked calls trying tandems.
+    network: Whole,
     /// The circuits there are, spread so that they carry most (Moe's principle), group by group.
     best_use: Vec<(Ends, u32)>,
     remarks: Vec<String>,
 }
 
+/// The network's fixed point.
+#[derive(Serialize)]
+struct Whole {
+    /// Share of all calls lost, and carried over tandems.
+    loss: f64,
+    by_tandem: f64,
+    converged: bool,
+    rounds: usize,
+    /// Share lost in the second state, where there is one: with the reserve that controllers keep, and without any.
+    second_state: Option<f64>,
+    second_state_without_reserve: Option<f64>,
+}
+
+/// Roots of a group's circuits that controllers keep from calls that are not its own.
+const RESERVE_ROOTS: f64 = 0.4;
+
+fn whole(plans: &[GroupPlan]) -> Result<Whole, String> {
+    let solve = |roots| network(plans, roots).solve().map_err(|e| e.to_string());
+    let (found, bare) = (solve(RESERVE_ROOTS)?, solve(0.0)?);
+    Ok(Whole {
+        loss: found.from_empty.total_loss,
+        by_tandem: found.from_empty.by_tandem,
+        converged: found.from_empty.converged,
+        rounds: found.from_empty.rounds,
+        second_state: found.from_full.map(|s| s.total_loss),
+        second_state_without_reserve: bare.from_full.map(|s| s.total_loss),
+    })
+}
+
 /// Files of a list of files and folders, in order.
 fn listed(paths: &[PathBuf]) -> Result<Vec<PathBuf>, String> {
     let mut files = Vec::new();
@@ -147,7 +188,8 @@
 
 /// Runs the command.
 pub fn run(asked: &Dimension) -> Result<ExitCode, String> {
-    let aim = Aim { loss: asked.loss, peakedness: asked.peakedness, price: asked.price };
+    let by_class = asked.class_loss.iter().cloned().collect();
+    let aim = Aim { loss: asked.loss, by_class, peakedness: asked.peakedness, price: asked.price };
     if !(aim.loss > 0.0 && aim.loss < 1.0) {
         return Err(format!("--loss {}: above 0 and below 1 is needed", aim.loss));
     }
@@ -185,6 +227,7 @@
         time_zone: zone,
         best_use: groups.iter().map(|g| g.ends).zip(best).collect(),
         remarks: remarks(&hours, &intervals),
+        network: whole(&groups)?,
         groups,
     };
     print(&plan);
@@ -233,6 +276,18 @@
     let (present, needed) =
         plan.groups.iter().fold((0, 0), |s, g| (s.0 + g.present, s.1 + u64::from(g.needed)));
     println!("{present} circuits present, {needed} needed, the difference costs {cost:.2}");
+    let w = &plan.network;
+    let how = if w.converged { "settled" } else { "NOT settled" };
+    println!(
+        "all groups in their busy hours at once, tandems tried: {:.5} of all calls lost, {:.5} carried by tandem ({how} \
+         after {} rounds)",
+        w.loss, w.by_tandem, w.rounds
+    );
+    if let Some(loss) = w.second_state {
+        println!("THIS NETWORK HAS A SECOND STATE under this load, in which {loss:.5} of all calls are lost");
+    } else if let Some(loss) = w.second_state_without_reserve {
+        println!("without reserved circuits it would have a second state, in which {loss:.5} are lost");
+    }
     let moved: Vec<String> = plan
         .best_use
         .iter()
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -9,6 +9,8 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use measured::calendar::Calendar;
+use measured::record::encode;
 use rehearsal::report::Report;
 use rehearsal::script::Script;
 use rehearsal::{compare, plots, virtual_clock, wall_clock};
@@ -64,6 +66,10 @@
         /// Print all messages of this call (16 hex digits, as breaches name it).
         #[arg(long, value_name = "CALL", value_parser = call_id)]
         trace: Option<u64>,
+        /// Write what the controllers measured of their groups here, in intervals of a minute, for `dimension`
+        /// (virtual clock, one run, in full).
+        #[arg(long, value_name = "DIR", conflicts_with_all = ["trace", "short"])]
+        measure: Option<PathBuf>,
         /// The program that `--clock wall` starts.
         #[arg(long, value_name = "PROGRAM", default_value = "target/release/dillhold")]
         program: PathBuf,
@@ -152,13 +158,40 @@
 
 fn run(command: Command) -> Result<ExitCode, String> {
     match command {
-        Command::Rehearse { file, clock, seed, runs, threads, short, json, plots, trace, program } => {
+        Command::Rehearse {
+            file,
+            clock,
+            seed,
+            runs,
+            threads,
+            short,
+            json,
+            plots,
+            trace,
+            measure,
+            program,
+        } => {
             let script = Script::load(&file).map_err(|e| e.to_string())?;
             if trace.is_some() && runs > 1 {
                 return Err("--trace follows a call of one run: leave --runs out".into());
             }
             let seconds = rehearsal::seconds(&script, short);
+            if measure.is_some() && (runs > 1 || clock == Clock::Wall) {
+                return Err("--measure is for one run on the virtual clock".into());
+            }
             let report = match (clock, trace) {
+                (Clock::Virtual, None) if measure.is_some() => {
+                    let calendar = Calendar::new("UTC", 1).map_err(|e| e.to_string())?;
+                    let found = rehearsal::rehearse_measured(&script, seed, &calendar)?;
+                    let folder = measure.unwrap_or_default();
+                    let said = |e: std::io::Error| format!("{}: {e}", folder.display());
+                    std::fs::create_dir_all(&folder).map_err(said)?;
+                    for interval in &found.intervals {
+                        std::fs::write(folder.join(interval.file_name()), encode(interval)).map_err(said)?;
+                    }
+                    println!("{} intervals written to {}", found.intervals.len(), folder.display());
+                    Report::new(&script, "virtual", seconds, vec![found.run])
+                }
                 (Clock::Virtual, None) => {
                     rehearsal::rehearse(&script, seed, runs as usize, threads as usize, short)?
                 }
--- a/ctl/tests/command_line.rs
+++ b/ctl/tests/command_line.rs
@@ -175,3 +175,24 @@
         assert_eq!(ctl(&[&["erlang"], bad].concat()).status.code(), Some(2), "{bad:?}");
     }
 }
+
+#[test]
+fn what_controllers_measured_in_a_rehearsal_can_be_reckoned_with() {
+    let folder = tempfile::tempdir().unwrap();
+    let (script, files) = (folder.path().join("hour.json5"), folder.path().join("intervals"));
+    let calm = "{ name: 'hour', seconds: 3700, nodes: 3, planned_calls: 3, load: 1, processor: { use_at_plan: 0.1 } }";
+    std::fs::write(&script, calm).unwrap();
+    let text = |p: &Path| p.to_str().unwrap().to_string();
+    let played = ctl(&["rehearse", &text(&script), "--measure", &text(&files)]);
+    assert!(played.status.success(), "{}", error(&played));
+    let output = ctl(&["dimension", &text(&files), "--class-loss", "result-post=0.002"]);
+    assert_eq!(output.status.code(), Some(0), "{}", error(&output));
+    let printed = String::from_utf8_lossy(&output.stdout).into_owned();
+    for part in
+        ["n0-n1", "n0-n2", "n1-n2", "tandems tried", "note: 1 days of the kind 'weekday'", "(settled after"]
+    {
+        assert!(printed.contains(part), "{part} in {printed}");
+    }
+    let refused = ctl(&["rehearse", &text(&script), "--measure", &text(&files), "--runs", "2"]);
+    assert_eq!(refused.status.code(), Some(2));
+}
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -321,3 +321,39 @@
     let line: serde_json::Value = serde_json::from_str(&first).expect("a JSON object a line");
     assert_eq!(line["fields"]["message"], "list of exchanges");
 }
+
+#[test]
+fn the_running_interval_is_written_whole_when_the_program_is_told_to_end() {
+    let (path, journal) = (config_path("measures"), listener());
+    let folder = std::env::temp_dir().join(format!("dillhold-test-{}-intervals", std::process::id()));
+    let operator = config_path("operator");
+    let text =
+        format!("{{ measure: {{ folder: {folder:?}, interval_minutes: 60, time_zone: 'Europe/Prague' }} }}");
+    std::fs::write(&operator, text).unwrap();
+    let sound = config("127.0.0.1:0".parse().unwrap(), journal.local_addr().unwrap(), &[]);
+    std::fs::write(&path, sound.to_string()).unwrap();
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_dillhold"));
+    command.env("EDGE_CONFIG", &path).arg("--operator").arg(&operator);
+    let mut child = command.stderr(std::process::Stdio::null()).spawn().unwrap();
+    // It asks the journal once it serves.
+    let _asked = accept(&journal);
+    let sent = std::process::Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(sent.success() && child.wait().unwrap().success());
+    let files: Vec<_> = std::fs::read_dir(&folder).unwrap().map(|f| f.unwrap().path()).collect();
+    assert_eq!(files.len(), 1, "one interval, and nothing half written: {files:?}");
+    let interval = measured::record::decode(&std::fs::read(&files[0]).unwrap()).unwrap();
+    assert!(interval.exchange == 0 && interval.measured.1 < interval.to && interval.seconds() > 0.5);
+    std::fs::remove_dir_all(&folder).unwrap();
+
+    // A folder that cannot be made is found out at the start.
+    std::fs::write(
+        &operator,
+        format!("{{ measure: {{ folder: '{}/x', time_zone: 'UTC' }} }}", path.display()),
+    )
+    .unwrap();
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_dillhold"));
+    let output = command.env("EDGE_CONFIG", &path).arg("--operator").arg(&operator).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && said.contains("measure.folder"), "{said}");
+    let _ = (std::fs::remove_file(&path), std::fs::remove_file(&operator));
+}
--- a/rehearsal/tests/dimension.rs
+++ b/rehearsal/tests/dimension.rs
@@ -157,7 +157,7 @@
 fn coverage_over_two_hundred_seeds() {
     let calendar = Calendar::new("Europe/Prague", 1).unwrap();
     let script = network(600, "groups: { drift: 0, spare_roots: 2 },");
-    let (mut inside, mut all, mut off) = (0, 0, [0u32; 4]);
+    let (mut inside, mut all, mut off, mut outside) = (0, 0, [0u32; 4], 0);
     for seed in 1..=200 {
         let found = rehearse_measured(&script, seed, &calendar).unwrap();
         let within = 1_800_000_000_000 + 600_000;
@@ -172,9 +172,13 @@
             inside += u32::from(load.low <= truth && truth <= load.high);
             all += 1;
             let sizes = [load.mean, truth].map(|a| erlang::circuits(a, 0.01).unwrap());
-            off[(sizes[0].abs_diff(sizes[1]) as usize).min(3)] += 1;
+            let apart = sizes[0].abs_diff(sizes[1]);
+            off[(apart as usize).min(3)] += 1;
+            let stated = [load.low, load.high].map(|a| erlang::circuits(a, 0.01).unwrap());
+            outside += u32::from(apart > 1 && !(stated[0]..=stated[1]).contains(&sizes[1]));
         }
     }
     println!("95% interval held the truth {inside} times of {all}; circuits off by 0, 1, 2, more: {off:?}");
+    println!("off by more than one and outside of the stated interval: {outside}");
     assert!(f64::from(inside) > 0.9 * f64::from(all));
 }
--- a/trunks/src/plan.rs
+++ b/trunks/src/plan.rs
@@ -1,8 +1,11 @@
 //! Circuits for a chosen loss, group by group, and the best use of the circuits there are.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 use crate::busy::BusyHour;
+use crate::network::{Demand, Group, Network};
 use crate::offered::Ends;
 use crate::overflow::Stream;
 use crate::widths::{self, Class};
@@ -47,38 +50,49 @@
 }
 
 /// What a plan aims at.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Aim {
     /// The loss of any class, at the most.
     pub loss: f64,
+    /// Losses of classes that have one of their own, by name.
+    pub by_class: BTreeMap<String, f64>,
     /// Peakedness of the traffic; 1 is Poisson.
     pub peakedness: f64,
     /// Price of a circuit.
     pub price: f64,
 }
 
-/// Circuits for loads of several classes.
-fn needed(loads: &[(u32, f64)], aim: &Aim) -> Result<Option<u32>, BadFigure> {
+impl Aim {
+    fn of(&self, class: &str) -> f64 {
+        self.by_class.get(class).copied().unwrap_or(self.loss)
+    }
+}
+
+/// Circuits for loads of several classes, each with the loss it may have.
+fn needed(loads: &[(u32, f64)], losses: &[f64], aim: &Aim) -> Result<Option<u32>, BadFigure> {
     if loads.iter().any(|(_, a)| !a.is_finite()) {
         return Ok(None);
     }
     let wide = loads.iter().any(|(w, _)| *w != 1);
     if !wide {
+        // Calls of one width lose alike: the strictest class decides.
         let mean = loads.iter().map(|(_, a)| a).sum();
-        let circuits = overflow::circuits(Stream::peaked(mean, aim.peakedness), aim.loss)?;
+        let strictest = losses.iter().copied().fold(1.0, f64::min);
+        let circuits = overflow::circuits(Stream::peaked(mean, aim.peakedness), strictest)?;
         return Ok(u32::try_from(circuits).ok());
     }
     // Peaked calls of several widths: Hayward's approximation scales loads and circuits alike.
     let z = aim.peakedness;
     let class = |(width, load): &(u32, f64)| Class { load: load / z, width: *width, reserve: 0 };
     let classes: Vec<Class> = loads.iter().map(class).collect();
-    let found = widths::circuits(&classes, &vec![aim.loss; classes.len()], MOST)?;
+    let found = widths::circuits(&classes, losses, MOST)?;
     Ok(found.map(|n| (f64::from(n) * z).ceil() as u32))
 }
 
 /// Sizes one group for the highest of its kinds of day.
 pub fn size(ends: Ends, present: u32, hours: &[BusyHour], aim: &Aim) -> Result<Option<GroupPlan>, BadFigure> {
     erlang::check_loss(aim.loss)?;
+    aim.by_class.values().try_for_each(|loss| erlang::check_loss(*loss))?;
     let highest = hours.iter().max_by(|a, b| a.load.mean.total_cmp(&b.load.mean));
     let Some(hour) = highest.cloned() else { return Ok(None) };
     // Each end of the whole load's interval moves all classes by the same share.
@@ -88,9 +102,10 @@
             hour.classes.values().map(|(w, l)| (*w, if l.mean > 0.0 { l.mean * share } else { 0.0 }));
         scaled.collect()
     };
-    let middle = needed(&at(hour.load.mean), aim)?.unwrap_or(MOST);
-    let low = needed(&at(hour.load.low), aim)?.unwrap_or(MOST);
-    let high = needed(&at(hour.load.high), aim)?;
+    let losses: Vec<f64> = hour.classes.keys().map(|name| aim.of(name)).collect();
+    let middle = needed(&at(hour.load.mean), &losses, aim)?.unwrap_or(MOST);
+    let low = needed(&at(hour.load.low), &losses, aim)?.unwrap_or(MOST);
+    let high = needed(&at(hour.load.high), &losses, aim)?;
     let classes: Vec<Class> = at(hour.load.mean)
         .into_iter()
         .map(|(width, load)| Class { load: load / aim.peakedness, width, reserve: 0 })
@@ -151,3 +166,30 @@
     }
     Ok(given)
 }
+
+/// Tandems that a call is offered to in turn, at the most.
+const TANDEMS: usize = 5;
+
+/// The network that these groups make at their present circuits, each pair at its busy hour and all at once: blocked
+/// calls try the tandems with the widest way, and each group keeps `reserve_roots` roots of its circuits from them.
+/// Loads are in circuits, for the fixed point knows one width.
+pub fn network(plans: &[GroupPlan], reserve_roots: f64) -> Network {
+    let nodes = plans.iter().map(|p| p.ends.1 as usize + 1).max().unwrap_or(0);
+    let present: BTreeMap<Ends, u32> = plans.iter().map(|p| (p.ends, p.present)).collect();
+    let room = |a: u32, b: u32| present.get(&(a.min(b), a.max(b))).copied().unwrap_or(0);
+    let ends = |p: &GroupPlan| (p.ends.0 as usize, p.ends.1 as usize);
+    let groups = plans.iter().map(|p| Group {
+        ends: ends(p),
+        circuits: p.present,
+        reserve: (reserve_roots * f64::from(p.present).sqrt()).ceil() as u32,
+    });
+    let demands = plans.iter().map(|p| {
+        let (a, b) = p.ends;
+        let way = |t: &u32| room(a, *t).min(room(*t, b));
+        let mut tandems: Vec<u32> = (0..nodes as u32).filter(|t| *t != a && *t != b && way(t) > 0).collect();
+        tandems.sort_by_key(|t| std::cmp::Reverse(way(t)));
+        let tandems = tandems.into_iter().take(TANDEMS).map(|t| t as usize).collect();
+        Demand { ends: ends(p), load: p.hour.load.mean, tandems }
+    });
+    Network { nodes, groups: groups.collect(), demands: demands.collect() }
+}
--- a/trunks/tests/measured_loads.rs
+++ b/trunks/tests/measured_loads.rs
@@ -6,7 +6,7 @@
 use measured::record::{ClassFigures, GroupFigures, Holding as Held, Interval};
 use trunks::busy::{busy_hours, Kind, NamedDays, Rule};
 use trunks::offered::{by_group, from_arrivals, from_usage, Holding};
-use trunks::plan::{size, spread, Aim, Verdict};
+use trunks::plan::{self, size, spread, Aim, Verdict};
 use trunks::{erlang, overflow};
 
 const QUARTER: i64 = 900_000;
@@ -78,7 +78,7 @@
         "{saturday:?}"
     );
     assert!(saturday.load.low > 55.0 && saturday.load.high < 65.0 && saturday.days == 4 && saturday.enough());
-    let aim = Aim { loss: 0.01, peakedness: 1.0, price: 2.0 };
+    let aim = Aim { loss: 0.01, by_class: BTreeMap::new(), peakedness: 1.0, price: 2.0 };
     let plan = size((1, 2), 60, &hours, &aim).unwrap().unwrap();
     assert_eq!(plan.needed as u64, erlang::circuits(60.0, 0.01).unwrap());
     assert_eq!((&plan.hour.kind, plan.verdict), (&Kind::Saturday, Verdict::Enlarge));
@@ -163,14 +163,47 @@
     let loads = by_group(&four_weeks());
     let hours = busy_hours(&loads[&(1, 2)], &calendar, &NamedDays::new(), Rule::TimeConsistent);
     let needed = |peakedness| {
-        size((1, 2), 60, &hours, &Aim { loss: 0.01, peakedness, price: 0.0 }).unwrap().unwrap().needed
+        let aim = Aim { loss: 0.01, by_class: BTreeMap::new(), peakedness, price: 0.0 };
+        size((1, 2), 60, &hours, &aim).unwrap().unwrap().needed
     };
     let stream = overflow::Stream::peaked(60.0, 2.0);
     assert_eq!(u64::from(needed(2.0)), overflow::circuits(stream, 0.01).unwrap());
     let mut wide = hours[1].clone();
     wide.classes.insert("wide".into(), (8, trunks::offered::Load { mean: 2.0, low: 1.5, high: 2.5 }));
     wide.load = wide.load.plus(trunks::offered::Load { mean: 16.0, low: 12.0, high: 20.0 });
-    let plan = size((1, 2), 60, &[wide], &Aim { loss: 0.01, peakedness: 1.0, price: 0.0 }).unwrap().unwrap();
+    let mut aim = Aim { loss: 0.01, by_class: BTreeMap::new(), peakedness: 1.0, price: 0.0 };
+    let plan = size((1, 2), 60, std::slice::from_ref(&wide), &aim).unwrap().unwrap();
     assert!(plan.needed > 100, "a call of eight circuits needs eight free ones: {}", plan.needed);
     assert!(plan.loss_now[1].1 > plan.loss_now[0].1);
+    // The wide class may lose more than the others: fewer circuits do, and a loss that cannot be is refused.
+    aim.by_class = BTreeMap::from([("wide".to_string(), 0.1)]);
+    let relaxed = size((1, 2), 60, std::slice::from_ref(&wide), &aim).unwrap().unwrap();
+    assert!(relaxed.needed < plan.needed, "{} {}", relaxed.needed, plan.needed);
+    aim.by_class = BTreeMap::from([("wide".to_string(), 1.5)]);
+    assert!(size((1, 2), 60, std::slice::from_ref(&wide), &aim).is_err());
+}
+
+#[test]
+fn the_groups_of_a_plan_make_a_network_with_tandems() {
+    let calendar = Calendar::new("Europe/Prague", 15).unwrap();
+    let mut intervals = Vec::new();
+    for (a, b, calls) in [(0, 1, 100), (0, 2, 20), (1, 2, 20)] {
+        for quarter in 40..44 {
+            intervals.push(interval(a, b, MONDAY + quarter * QUARTER, calls, 20.0));
+            intervals.push(interval(b, a, MONDAY + quarter * QUARTER, calls, 20.0));
+        }
+    }
+    let aim = Aim { loss: 0.01, by_class: BTreeMap::new(), peakedness: 1.0, price: 0.0 };
+    let plans: Vec<_> = by_group(&intervals)
+        .iter()
+        .map(|(ends, loads)| {
+            let hours = busy_hours(loads, &calendar, &NamedDays::new(), Rule::TimeConsistent);
+            size(*ends, 20, &hours, &aim).unwrap().unwrap()
+        })
+        .collect();
+    let with = plan::network(&plans, 0.4);
+    assert_eq!((with.nodes, with.groups[0].reserve, with.demands[0].tandems.clone()), (3, 2, vec![2]));
+    let found = with.solve().unwrap().from_empty;
+    let alone = erlang::loss(plans[0].hour.load.mean, 20.0).unwrap();
+    assert!(found.converged && found.loss[0] < 0.7 * alone, "the third node carries some: {found:?}");
 }
