Split the rehearsal's processors from its nodes: one concern a file

Change: the processor with its line, cold budget and turning away has a file of its own; nothing else moves.

--- a/rehearsal/src/world/callers.rs
+++ b/rehearsal/src/world/callers.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1};
 
-use super::nodes::What;
+use super::processor::What;
 use super::{nanos, Act, Due, Party, WireId, World, MS, RECONNECT};
 use crate::audit::{Seen, ANSWER_GRACE};
 use crate::report::{Lost, Outcome};
--- a/rehearsal/src/world/mod.rs
+++ b/rehearsal/src/world/mod.rs
@@ -7,6 +7,7 @@
 mod journal;
 mod network;
 mod nodes;
+mod processor;
 mod settings;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -23,7 +24,8 @@
 use callers::{Callers, Intent};
 use journal::Service;
 use network::Network;
-use nodes::{Job, Leg, Machine, Node};
+use nodes::{Leg, Machine};
+use processor::{Job, Node};
 
 /// One second.
 pub const SEC: Nanos = 1_000_000_000;
@@ -177,7 +179,7 @@
         let nodes = script.nodes as usize;
         let network = Network::new(&script, stream(1));
         let callers = Callers::new(&script, seed);
-        let unit = nodes::unit(&script);
+        let unit = processor::unit(&script);
         let audit = Auditor::new(&script);
         let books = Books::new(&script, offers);
         let struck = incidents::struck(&script, stream(2));
