Take out of the rehearsal what nothing needs: a wrapper, a word never heard, copies

Found on reading the change again: speed_changed only called work_on, the auditor never read Seen::Started, one millisecond was defined a second time, and three plots wrote the same legend.

--- a/rehearsal/src/audit.rs
+++ b/rehearsal/src/audit.rs
@@ -83,9 +83,7 @@
 #[allow(missing_docs)]
 #[derive(Clone, Copy, Debug)]
 pub enum Seen<'a> {
-    /// A controller runs from now on.
-    Started { controller: usize },
-    /// It runs no more.
+    /// A controller runs no more.
     Killed { controller: usize },
     /// A caller's set-up, or one in transit that came of another call.
     CallerSetUp {
--- a/rehearsal/src/plots.rs
+++ b/rehearsal/src/plots.rs
@@ -81,6 +81,18 @@
     }};
 }
 
+/// Says which line is which, in a corner of a chart.
+macro_rules! legend {
+    ($chart:expr, $place:ident) => {
+        $chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::$place)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?
+    };
+}
+
 fn worth(area: &Area<'_>, report: &Report) -> Result<(), Error> {
     let share = report.windows.iter().enumerate().filter(|(_, w)| w.offered > 0.0);
     let share: Vec<(f64, f64)> = share.map(|(s, w)| (s as f64 + 0.5, w.earned / w.offered)).collect();
@@ -99,13 +111,7 @@
         .draw_series(LineSeries::new(smooth, BLUE.stroke_width(2)))?
         .label("mean of five seconds")
         .legend(|(x, y)| PathElement::new([(x, y), (x + 18, y)], BLUE.stroke_width(2)));
-    let place = SeriesLabelPosition::LowerRight;
-    chart
-        .configure_series_labels()
-        .position(place)
-        .background_style(WHITE.mix(0.8))
-        .border_style(BLACK)
-        .draw()?;
+    legend!(chart, LowerRight);
     Ok(())
 }
 
@@ -134,13 +140,7 @@
             .label(name)
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
     }
-    let place = SeriesLabelPosition::MiddleRight;
-    chart
-        .configure_series_labels()
-        .position(place)
-        .background_style(WHITE.mix(0.8))
-        .border_style(BLACK)
-        .draw()?;
+    legend!(chart, MiddleRight);
     Ok(())
 }
 
@@ -169,9 +169,7 @@
         }
     }
     if !nodes.is_empty() {
-        let place = SeriesLabelPosition::MiddleRight;
-        let labels = &mut chart.configure_series_labels();
-        labels.position(place).background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        legend!(chart, MiddleRight);
     }
     Ok(())
 }
--- a/rehearsal/src/world/incidents.rs
+++ b/rehearsal/src/world/incidents.rs
@@ -111,7 +111,7 @@
                 self.book_work(node);
                 let hung = &mut self.nodes[node].hung;
                 *hung = if phase == Phase::Begin { *hung + 1 } else { hung.saturating_sub(1) };
-                self.speed_changed(node);
+                self.work_on(node);
             }
             (Kind::Pauses, _) => self.pauses(number, node, phase, &event),
             (Kind::Slow, _) => {
@@ -120,7 +120,7 @@
                     (Phase::Begin, Some(factor)) => self.nodes[node].slow.insert(number, factor.0),
                     _ => self.nodes[node].slow.remove(&number),
                 };
-                self.speed_changed(node);
+                self.work_on(node);
             }
             (Kind::LoseCircuits, _) => self.circuits(),
             (Kind::SilentConnections, _) => {
@@ -186,7 +186,7 @@
             }
             Phase::Move => {
                 self.nodes[node].paused = self.nodes[node].paused.saturating_sub(1);
-                self.speed_changed(node);
+                self.work_on(node);
             }
             _ => {}
         }
@@ -204,7 +204,7 @@
         self.audit.machine_started(self.now, machine);
         let late = self.script.journal.start;
         self.tell_journals(machine, "SERVING", late);
-        self.speed_changed(node);
+        self.work_on(node);
     }
 
     /// Another machine takes a node's place.
--- a/rehearsal/src/world/mod.rs
+++ b/rehearsal/src/world/mod.rs
@@ -29,8 +29,7 @@
 
 /// One second.
 pub const SEC: Nanos = 1_000_000_000;
-/// One millisecond.
-pub const MS: Nanos = 1_000_000;
+pub use dillhold::clock::MS;
 /// After the last arrival a rehearsal runs on for so long: all is answered, and rules still count.
 const RUN_OUT: Nanos = 20 * SEC;
 
@@ -443,7 +442,6 @@
         (self.running[controller], self.fronted[controller]) = (true, true);
         self.services[controller].restart();
         let config = self.configuration(controller);
-        self.audit.saw(self.now, Seen::Started { controller });
         self.later(RECONNECT, Due::Reconnect(controller));
         self.acts.push_back(Act::Start(controller, config));
     }
--- a/rehearsal/src/world/processor.rs
+++ b/rehearsal/src/world/processor.rs
@@ -127,8 +127,8 @@
         n.pace(self.now, &self.script)
     }
 
-    /// Takes the next job up, if the processor is free and moves.
-    fn work_on(&mut self, node: usize) {
+    /// Takes the next job up, if the processor is free and moves; to be called when its speed has changed, too.
+    pub(super) fn work_on(&mut self, node: usize) {
         let speed = self.speed(node);
         while speed > 0.0 && self.nodes[node].working.is_none() {
             let Some(id) = self.nodes[node].line.pop_front() else { return };
@@ -167,11 +167,6 @@
         }
     }
 
-    /// The speed has changed.
-    pub(super) fn speed_changed(&mut self, node: usize) {
-        self.work_on(node);
-    }
-
     pub(super) fn job_done(&mut self, node: usize, run: u64) {
         if self.nodes[node].run != run {
             return;
