--- a/dillhold/tests/common/mod.rs
+++ b/dillhold/tests/common/mod.rs
@@ -172,6 +172,13 @@
     Wire::new(listener.accept().unwrap().0)
 }
 
+/// From now on connections to a listener never come up, as if its machine had vanished: its queue takes one
+/// connection, and that one is returned.
+pub fn vanish(listener: &TcpListener) -> TcpStream {
+    rustix::net::listen(listener, 0).unwrap();
+    TcpStream::connect(listener.local_addr().unwrap()).unwrap()
+}
+
 /// A line of the journal.
 pub fn target(number: usize, uid: &str, address: SocketAddr, state: &str) -> Value {
     json!({"uid": uid, "endpoint": address, "az": "east", "model": "std", "pod_group": number,
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -246,6 +246,36 @@
     assert!(!bench.said(caller).is_empty());
 }
 
+/// What a caller was told on a connection since the last look: types and causes, in order.
+fn told(bench: &mut Bench, caller: ConnId) -> Vec<(u8, u64, Option<u8>)> {
+    let bytes = bench.said(caller);
+    let (mut rest, mut told) = (&bytes[..], Vec::new());
+    while let Some((message, taken)) = binary::parse(rest).unwrap() {
+        told.push((message.kind, message.call, message.cause()));
+        rest = &rest[taken..];
+    }
+    told
+}
+
+/// Brings a call to stand at an exchange.
+fn stand(bench: &mut Bench, caller: ConnId, exchange: ConnId, id: u64) {
+    bench.set_up(caller, id);
+    bench.comes(exchange, &ok(id));
+    assert_eq!(told(bench, caller), [(binary::kind::ANSWER, id, None)]);
+}
+
+#[test]
+fn callers_of_a_vanished_exchange_are_told_in_time_though_discovery_says_nothing() {
+    let mut bench = Bench::new();
+    let (exchange, caller) = (bench.up(1), bench.caller());
+    stand(&mut bench, caller, exchange, 7);
+    // The connection stays open and silent, and none that is dialled from now on comes up.
+    bench.wait(4_000 * MS);
+    assert_eq!(told(&mut bench, caller), [], "a network may be cut for some seconds");
+    bench.wait(4_000 * MS);
+    assert_eq!(told(&mut bench, caller), [(binary::kind::RELEASE, 7, Some(41))]);
+}
+
 #[test]
 fn the_same_feed_gives_the_same_bytes() {
     let play = || {
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -188,6 +188,21 @@
     assert_eq!(caller.told(), (9, 23, 0, b"v".to_vec()));
 }
 
+/// With discovery down nobody said that a machine had vanished, and callers were left with calls that were over.
+#[test]
+fn callers_are_told_when_an_exchange_vanishes_while_discovery_is_silent() {
+    let (_program, mut caller, mut vanished, mut other, sockets) = scene("vanishes");
+    stand(&mut caller, &mut vanished, 31);
+    let _queue = vanish(&sockets[1]);
+    assert_eq!(caller.told(), (12, 31, 41, vec![]));
+    // The other exchange serves on, and what it releases is passed on.
+    caller.set_up(32);
+    let (_, number, _) = other.sip("INVITE ");
+    other.say_sip("SIP/2.0 200 OK", 32, (number, "INVITE"), "", DESCRIPTION);
+    other.sip("ACK ");
+    assert_eq!(caller.told(), (9, 32, 0, DESCRIPTION.to_vec()));
+}
+
 #[test]
 fn a_half_closed_caller_still_gets_its_answer() {
     let (_program, mut caller, mut exchange, _, _l) = scene("half");
--- a/rehearsal/src/audit.rs
+++ b/rehearsal/src/audit.rs
@@ -19,10 +19,11 @@
 const TOLD_AT_LATEST: Nanos = 7 * SEC;
 /// After an attempt that may have left something behind the call is not sent for so long.
 const RELEASE_WAIT: Nanos = 300 * MS;
-/// A call that is over is released towards its caller within the first of these, or, where its exchange could
-/// not say so, within the second. Nobody can release what he cannot know to be over: where the register told of
-/// the machine's end later than that, the first counts from then.
-const RELEASED_WITHIN: [Nanos; 2] = [SEC + SLACK, 8 * SEC + SLACK];
+/// A call that is over is released towards its caller within this time after its exchange said so.
+const RELEASED_AFTER_BYE: Nanos = SEC + SLACK;
+/// The same where its exchange could not say so, counted from the end of the call. A controller has to find out
+/// by itself: that the node register knew nothing yet is no excuse.
+const RELEASED_AFTER_END: Nanos = 8 * SEC + SLACK;
 /// What is over is remembered for so long, for what crosses its end.
 const REMEMBERED: Nanos = 20 * SEC;
 /// Breaches that are written out in full; the others are counted.
@@ -213,10 +214,8 @@
     waits_from: Option<Nanos>,
     /// Descriptions that exchanges answered with.
     answers: Vec<Vec<u8>>,
-    /// The caller must be told that it is over by then, and the machine that could not say so.
+    /// The caller must be told that it is over by then.
     release_by: Option<Nanos>,
-    unsaid_by: Option<usize>,
-    machine: usize,
     /// The controller that had it is no more: its successor knows only what it is told.
     orphaned: bool,
     ended: bool,
@@ -232,8 +231,6 @@
     due: BTreeSet<(Nanos, usize, u64)>,
     /// By controller and machine, since when it counts as told that nothing new may go there.
     closed: HashMap<(usize, usize), Nanos>,
-    /// When it was told that a machine has ended: by its absence, or by its next start.
-    told_end: HashMap<(usize, usize), Nanos>,
     /// When machines started anew.
     started: HashMap<usize, Nanos>,
     /// Controllers that were told of a machine's latest start.
@@ -253,7 +250,6 @@
             records: HashMap::new(),
             due: BTreeSet::new(),
             closed: HashMap::new(),
-            told_end: HashMap::new(),
             started: HashMap::new(),
             told_start: BTreeSet::new(),
             counts: BTreeMap::new(),
@@ -329,13 +325,6 @@
             self.due.remove(&(at, controller, id));
             let Some(record) = self.records.get_mut(&(controller, id)) else { continue };
             if record.release_by.is_some_and(|by| by <= at) {
-                let unsaid = record.unsaid_by.map(|machine| self.told_end.get(&(controller, machine)));
-                let known = unsaid.map_or(at, |told| told.map_or(at + SEC, |t| t + RELEASED_WITHIN[0]));
-                if known > at {
-                    record.release_by = Some(known);
-                    self.due.insert((known, controller, id));
-                    continue;
-                }
                 record.release_by = None;
                 let what = "over, and its caller was not told in time".into();
                 self.breach(at, Rule::ReleasePassed, (controller, Some(id)), what);
@@ -416,14 +405,10 @@
             Seen::Told { controller, machine, state: "SERVING" } => {
                 self.closed.remove(&(controller, machine));
                 if self.started.contains_key(&machine) {
-                    self.told_end.insert((controller, machine), now);
                     self.told_start.insert((controller, machine));
                 }
             }
-            Seen::Told { controller, machine, state } => {
-                if state == "DELETED" {
-                    self.told_end.insert((controller, machine), now);
-                }
+            Seen::Told { controller, machine, .. } => {
                 let at = self.closed.entry((controller, machine)).or_insert(now);
                 *at = (*at).min(now);
             }
@@ -512,13 +497,8 @@
             }
             Seen::Released { .. } | Seen::Over { .. } => {
                 let said = matches!(seen, Seen::Released { .. });
-                let by = now + RELEASED_WITHIN[usize::from(!said)];
+                let by = now + if said { RELEASED_AFTER_BYE } else { RELEASED_AFTER_END };
                 if record.stands && !record.ended && (said || !record.orphaned) {
-                    if !said && record.release_by.is_none() {
-                        record.unsaid_by = Some(record.machine);
-                    } else if said {
-                        record.unsaid_by = None;
-                    }
                     let by = record.release_by.map_or(by, |known| known.min(by));
                     record.release_by = Some(by);
                     self.due.insert((by, key.0, key.1));
@@ -566,7 +546,7 @@
         if closed.is_some_and(|at| now > at + DRAIN_GRACE) {
             broken.push((Rule::DrainKept, "sent to a node told to drain or to be gone"));
         }
-        (record.out, record.machine) = (true, machine);
+        record.out = true;
         for (rule, what) in broken {
             self.breach(now, rule, place, what.into());
         }
--- a/rehearsal/src/wall_clock.rs
+++ b/rehearsal/src/wall_clock.rs
@@ -68,7 +68,28 @@
     controller: usize,
     party: Party,
     address: SocketAddr,
-    listener: Option<mio::net::TcpListener>,
+    entrance: Entrance,
+}
+
+/// What a connection to a listening address meets.
+enum Entrance {
+    /// It is accepted.
+    Open(mio::net::TcpListener),
+    /// It never comes up: the queue of the listener is full, so the system drops what asks to connect.
+    Blocked { _listener: mio::net::TcpListener, _filler: mio::net::TcpStream },
+    /// It is refused.
+    Closed,
+}
+
+impl Entrance {
+    /// How a party is reached by way of this.
+    fn reach(&self) -> Reach {
+        match self {
+            Entrance::Open(_) => Reach::Up,
+            Entrance::Blocked { .. } => Reach::Never,
+            Entrance::Closed => Reach::Refused,
+        }
+    }
 }
 
 struct Sock {
@@ -196,7 +217,8 @@
         loop {
             let door = &self.listeners[token];
             let (controller, party) = (door.controller, door.party);
-            let Some(Ok((mut stream, _))) = door.listener.as_ref().map(|l| l.accept()) else { return };
+            let Entrance::Open(listener) = &door.entrance else { return };
+            let Ok((mut stream, _)) = listener.accept() else { return };
             let _ = stream.set_nodelay(true);
             match self.world.reach(controller, party) {
                 Reach::Up => {
@@ -342,30 +364,54 @@
         }
         for (controller, party, listener) in fresh {
             let address = listener.local_addr().map_err(text("a listener"))?;
-            self.listeners.push(Door { controller, party, address, listener: None });
+            self.listeners.push(Door { controller, party, address, entrance: Entrance::Closed });
             self.open(self.listeners.len() - 1, listener)?;
         }
         for door in 0..self.listeners.len() {
             let d = &self.listeners[door];
-            let open = self.world.reach(d.controller, d.party) != Reach::Refused;
-            match (open, d.listener.is_some()) {
-                (false, true) => self.listeners[door].listener = None,
-                (true, false) => {
-                    let listener = TcpListener::bind(d.address).map_err(text("a listener"))?;
-                    self.open(door, listener)?;
-                }
-                _ => {}
+            let (wanted, present) = (self.world.reach(d.controller, d.party), d.entrance.reach());
+            match wanted {
+                _ if wanted == present => {}
+                Reach::Up => self.reopen(door)?,
+                Reach::Refused => self.listeners[door].entrance = Entrance::Closed,
+                Reach::Never => self.block(door)?,
             }
         }
         Ok(())
     }
 
+    /// Listens again at the address of a party.
+    fn reopen(&mut self, door: usize) -> Result<(), String> {
+        let d = &mut self.listeners[door];
+        d.entrance = Entrance::Closed;
+        let listener = TcpListener::bind(d.address).map_err(text("a listener"))?;
+        self.open(door, listener)
+    }
+
+    /// Lets no connection come up any more, nor be refused: the listener's queue takes one connection, and that
+    /// one is ours.
+    fn block(&mut self, door: usize) -> Result<(), String> {
+        if matches!(self.listeners[door].entrance, Entrance::Closed) {
+            self.reopen(door)?;
+        }
+        self.accept(door);
+        let d = &mut self.listeners[door];
+        let Entrance::Open(mut listener) = std::mem::replace(&mut d.entrance, Entrance::Closed) else {
+            return Ok(());
+        };
+        self.poll.registry().deregister(&mut listener).map_err(text("epoll"))?;
+        rustix::net::listen(&listener, 0).map_err(text("a listener"))?;
+        let filler = mio::net::TcpStream::connect(d.address).map_err(text("a connection"))?;
+        d.entrance = Entrance::Blocked { _listener: listener, _filler: filler };
+        Ok(())
+    }
+
     fn open(&mut self, door: usize, listener: TcpListener) -> Result<(), String> {
         listener.set_nonblocking(true).map_err(text("a listener"))?;
         let mut listener = mio::net::TcpListener::from_std(listener);
         let registry = self.poll.registry();
         registry.register(&mut listener, Token(door), Interest::READABLE).map_err(text("epoll"))?;
-        self.listeners[door].listener = Some(listener);
+        self.listeners[door].entrance = Entrance::Open(listener);
         Ok(())
     }
 }
