End calls of an exchange that comes back without them; log why connections close

Cause: a process that starts anew under its id and address, while discovery is down, was taken for the same one as soon as its connection was up (Engine::exchange_up). Closes carry a typed reason; attempts' ends and refusals for want of room are logged.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -81,11 +81,11 @@
 
 /// The state of the group to an exchange.
 #[derive(Clone, Copy, Debug)]
-struct GroupState {
+pub struct GroupState {
     /// When the exchange told it.
-    at: Nanos,
+    pub at: Nanos,
     /// Circuits in use, by calls of either end.
-    in_use: f64,
+    pub in_use: f64,
 }
 
 /// What a connection from callers bears.
@@ -119,7 +119,7 @@
     open: usize,
     /// Calls that stand, by exchange; exchanges without any are not here.
     standing_at: HashMap<ExchangeId, usize>,
-    /// The states of groups as exchanges last told them.
+    /// The states of groups as exchanges first told them since their connections came up.
     groups: HashMap<ExchangeId, GroupState>,
     /// Bytes of the set-ups that are owed an answer.
     held: usize,
@@ -254,6 +254,7 @@
     }
 
     fn unservable(&mut self, link: CallerLink, id: u64) {
+        tracing::info!(call = format_args!("{id:016x}"), conn = link, "failed: set-up cannot be served");
         self.counters.up("taken set-ups unservable");
         self.say(Some(link), id, ToCaller::Failed);
     }
@@ -295,6 +296,8 @@
             && self.held + size <= self.bounds.open_bytes
             && standing < self.bounds.standing;
         if !room {
+            let (open, held) = (self.open, self.held);
+            tracing::info!(call = format_args!("{:016x}", s.id), open, held, standing, "refused: no room");
             self.counters.up("answered refused for want of room");
             self.say(Some(link), s.id, ToCaller::Refused(self.set.max_pause.unwrap_or(0)));
             return true;
@@ -440,7 +443,8 @@
                 self.counters.up("taken group states");
                 let number = self.directory.machine(exchange).map(|m| m.number);
                 if let Some((free, size)) = report.free.zip(report.size) {
-                    self.groups.insert(exchange, GroupState { at: now, in_use: (size - free).max(0.0) });
+                    let in_use = (size - free).max(0.0);
+                    self.groups.entry(exchange).or_insert(GroupState { at: now, in_use });
                 }
                 let known = number.zip(report.free).zip(report.size);
                 if let (Some(meter), Some(((number, free), size))) = (&mut self.meter, known) {
@@ -587,15 +591,20 @@
         }
     }
 
-    /// Circuits of the calls that stand on an exchange.
-    pub fn circuits_of_standing(&self, exchange: ExchangeId) -> u32 {
-        let here = self.table.values().filter(|c| c.stands.is_some_and(|s| s.exchange == exchange));
-        here.map(|c| c.width).sum()
+    /// Circuits of the calls that stand on an exchange and were sent before a time.
+    pub fn circuits_of_standing(&self, exchange: ExchangeId, before: Nanos) -> u32 {
+        let here = |c: &&Call| c.stands.is_some_and(|s| s.exchange == exchange && s.sent < before);
+        self.table.values().filter(here).map(|c| c.width).sum()
     }
 
-    /// Circuits in use on the group to an exchange, if it has told them since a time.
-    pub fn circuits_in_use(&self, exchange: ExchangeId, since: Nanos) -> Option<f64> {
-        self.groups.get(&exchange).filter(|state| state.at >= since).map(|state| state.in_use)
+    /// The state of the group to an exchange, as it first told it since [`Calls::forget_group`].
+    pub fn group(&self, exchange: ExchangeId) -> Option<GroupState> {
+        self.groups.get(&exchange).copied()
+    }
+
+    /// Forgets the state of the group to an exchange: the next one that it tells is kept.
+    pub fn forget_group(&mut self, exchange: ExchangeId) {
+        self.groups.remove(&exchange);
     }
 
     /// Forgets what is known of an exchange that is gone for good.
@@ -800,6 +809,8 @@
 
     fn ended(&mut self, now: Nanos, id: u64, out: Out, how: (Outcome, Cause, Report)) {
         let (outcome, cause, report) = how;
+        let (call, attempt, exchange) = (format_args!("{id:016x}"), out.attempt, out.exchange);
+        tracing::debug!(call, attempt, exchange, ?outcome, ?cause, "attempt ended");
         self.counters.up("taken endings");
         let Some(call) = self.table.get_mut(&id) else { return };
         call.out = None;
--- a/dillhold/src/call/words.rs
+++ b/dillhold/src/call/words.rs
@@ -197,8 +197,6 @@
         exchange: ExchangeId,
         /// When it could be reached again; calls that stood before are in doubt.
         since: Nanos,
-        /// Comparisons in a row that still have to show that they are lost.
-        left: u32,
     },
     /// The journal is asked again.
     Ask,
--- a/dillhold/src/engine/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -2,6 +2,7 @@
 
 use pitchgw::interface::Nanos;
 
+use super::close_reason::CloseReason;
 use super::{ConnId, Engine, Peer};
 use crate::call::{CallerLink, Due, LinkDue, ToCaller};
 use crate::clock::MS;
@@ -60,9 +61,7 @@
         });
         let least = callers.filter(|(.., token)| free(token)).min();
         if let Some((.., token)) = least {
-            tracing::debug!(conn = token, "caller closed to make room");
-            self.calls.counters.up("closed callers to make room");
-            self.lost(token);
+            self.close(token, CloseReason::MakeRoom);
         }
         least.is_some()
     }
@@ -75,13 +74,14 @@
         let half = !caller.inbox.rest().is_empty() && since(conn.read) >= HALF;
         let no_word = !caller.answered && !self.calls.open_on(token);
         let idle = !self.calls.bears(token) && since(caller.heard.max(conn.opened)) >= IDLE;
-        if half || no_word || idle {
-            self.calls.counters.up(match (half, no_word) {
-                (true, _) => "closed callers with half a message",
-                (_, true) => "closed callers without a word",
-                _ => "closed callers idle",
-            });
-            return self.lost(token);
+        let reason = match (half, no_word, idle) {
+            (true, _, _) => Some(CloseReason::CallerMessageIncomplete),
+            (_, true, _) => Some(CloseReason::CallerUnanswered),
+            (_, _, true) => Some(CloseReason::CallerIdle),
+            _ => None,
+        };
+        if let Some(reason) = reason {
+            return self.close(token, reason);
         }
         self.calls.deadlines.add(self.now + LOOK, Due::Link(LinkDue::Caller(token)));
     }
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -5,6 +5,7 @@
 
 use pitchgw::interface::{ExchangeId, Nanos, Standing};
 
+use super::close_reason::CloseReason;
 use super::failure_detector::FailureDetector;
 use super::{ConnId, Engine, Peer};
 use crate::call::{Came, Due, LinkDue, ToExchange};
@@ -35,8 +36,6 @@
     /// A connection that checks whether the exchange lives.
     pub(super) check: Option<ConnId>,
     pub(super) detector: FailureDetector,
-    /// Connections that did not come up since one last did.
-    failed_dials: u32,
     /// Refusals in a row, and when the last was counted.
     refused: u32,
     refused_at: Nanos,
@@ -94,7 +93,6 @@
                     conn: None,
                     check: None,
                     detector: FailureDetector::new(self.now),
-                    failed_dials: 0,
                     refused: 0,
                     refused_at: 0,
                     up_at: 0,
@@ -132,13 +130,10 @@
         if let Some(link) = self.links.get_mut(&id) {
             (link.refused, link.up_at) = (0, self.now);
             link.detector.connected(self.now);
-            let failed_dials = std::mem::take(&mut link.failed_dials);
             if link.session.holds_set_ups() {
                 self.listen_for(id);
             }
-            if failed_dials > 0 {
-                self.reachable_again(id);
-            }
+            self.reachable_again(id);
         }
         tracing::info!(exchange = id, "exchange connected");
         self.calls.counters.up("sent exchange connections");
@@ -167,7 +162,6 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         (link.conn, link.unheard_since) = (None, None);
         let unsent = link.session.lost();
-        link.failed_dials += u32::from(unmade);
         let ended = refused && link.count_refusal(self.now);
         if !refused {
             link.refused = 0;
@@ -199,17 +193,14 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.conn == Some(token)) else { return };
         if link.unheard_since.is_some_and(|since| self.now >= since + (SILENT << link.silent)) {
             link.silent = (link.silent + 1).min(PATIENCE);
-            tracing::warn!(conn = token, exchange = id, "exchange stayed silent after a set-up");
-            self.calls.counters.up("closed exchanges that stayed silent");
-            self.lost(token);
+            self.close(token, CloseReason::ExchangeSilent);
         }
     }
 
     pub(super) fn half_due(&mut self, id: ExchangeId, token: ConnId) {
         let link = self.links.get(&id).filter(|l| l.conn == Some(token));
         if link.and_then(|l| l.session.half).is_some_and(|since| self.now >= since + HALF) {
-            self.calls.counters.up("closed exchanges with half a message");
-            self.lost(token);
+            self.close(token, CloseReason::ExchangeMessageIncomplete);
         }
     }
 
--- a/dillhold/src/engine/journal.rs
+++ b/dillhold/src/engine/journal.rs
@@ -4,6 +4,7 @@
 
 use pitchgw::interface::Nanos;
 
+use super::close_reason::CloseReason;
 use super::{ConnId, Engine, Peer};
 use crate::call::{Due, LinkDue};
 use crate::clock::MS;
@@ -83,8 +84,7 @@
     pub(super) fn journal_due(&mut self, token: ConnId) {
         let overdue = self.feed.asking && self.now >= self.feed.asked + HOLD_MS * MS + OVERDUE;
         if overdue && self.feed.conn == Some(token) {
-            self.calls.counters.up("errors journal silent");
-            self.lost(token);
+            self.close(token, CloseReason::JournalSilent);
         }
     }
 
--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -3,19 +3,21 @@
 
 use pitchgw::interface::{ExchangeId, Nanos};
 
+use super::close_reason::CloseReason;
 use super::failure_detector::{Verdict, CHECK_TIMEOUT};
 use super::{ConnId, Engine, Peer};
 use crate::call::{Due, LinkDue};
 use crate::clock::MS;
 use crate::session::exchange::Exchange;
 
-/// Time between two comparisons of the calls that stand here with the circuits that an exchange says are in use.
-const COMPARE_AGAIN: Nanos = 100 * MS;
-/// So many comparisons in a row have to show that an exchange has lost its calls. What it has to say of calls that
-/// ended while it was out of reach comes meanwhile.
-const COMPARISONS: u32 = 6;
+/// Time from an exchange's first word on its group until the calls are compared with it. What it has to say of calls
+/// that ended while it was out of reach comes meanwhile.
+const COMPARE_AFTER: Nanos = 600 * MS;
+/// The same, until the comparison is exact: releases wait in line at a busy exchange, behind the circuits that they
+/// free.
+const COMPARE_EXACTLY_AFTER: Nanos = 3_000 * MS;
 /// An exchange that has not told the state of its group so long after it could be reached again does not tell it.
-const COMPARE_WITHIN: Nanos = 2_000 * MS;
+const TOLD_WITHIN: Nanos = 2_000 * MS;
 
 /// A connection that only checks whether an exchange lives. No set-up is sent on it; what the exchange says there is
 /// heard like anything else.
@@ -125,38 +127,46 @@
         self.calls.exchange_vanished(self.now, id);
         self.end_check(id);
         if let Some(conn) = conn {
-            self.lost(conn);
+            self.close(conn, CloseReason::ExchangeVanished);
         }
     }
 
-    /// An exchange can be reached again after it could not be. It may have been cut off, and then its calls stand,
+    /// The connection to an exchange is up again. The exchange may have been out of reach, and then its calls stand,
     /// or have started anew without them: the circuits that it says are in use tell which.
     pub(super) fn reachable_again(&mut self, id: ExchangeId) {
+        self.calls.forget_group(id);
         if self.calls.standing_at(id) > 0 {
-            let due = LinkDue::Compare { exchange: id, since: self.now, left: COMPARISONS };
-            self.calls.deadlines.add(self.now + COMPARE_AGAIN, Due::Link(due));
+            let due = LinkDue::Compare { exchange: id, since: self.now };
+            self.calls.deadlines.add(self.now + COMPARE_AFTER, Due::Link(due));
         }
     }
 
-    /// Compares the calls that stand here with the circuits that an exchange says are in use.
-    pub(super) fn compare_due(&mut self, id: ExchangeId, since: Nanos, left: u32) {
+    /// Compares the calls that stand here since before an exchange could be reached again with the circuits that were
+    /// in use by its first word. Those that stand to this day were among them.
+    pub(super) fn compare_due(&mut self, id: ExchangeId, since: Nanos) {
         if !self.links.contains_key(&id) {
             return;
         }
-        let left = match self.calls.circuits_in_use(id, since) {
-            None if self.now < since + COMPARE_WITHIN => left,
-            None => return,
-            // Its own calls and those of other ends may be on the same group already; and what is in use may lag
-            // behind by a call or two. Less than half cannot be explained so.
-            Some(in_use) if 2.0 * in_use >= f64::from(self.calls.circuits_of_standing(id)) => return,
-            Some(_) => left - 1,
+        let due = Due::Link(LinkDue::Compare { exchange: id, since });
+        let Some(group) = self.calls.group(id) else {
+            if self.now < since + TOLD_WITHIN {
+                self.calls.deadlines.add(self.now + COMPARE_AFTER, due);
+            }
+            return;
         };
-        if left == 0 {
-            tracing::warn!(exchange = id, "exchange lost its calls while it was out of reach");
+        if self.now < group.at + COMPARE_AFTER {
+            return self.calls.deadlines.add(group.at + COMPARE_AFTER, due);
+        }
+        let standing = f64::from(self.calls.circuits_of_standing(id, since));
+        let exact = self.now >= group.at + COMPARE_EXACTLY_AFTER;
+        if !exact && group.in_use < standing {
+            self.calls.deadlines.add(group.at + COMPARE_EXACTLY_AFTER, due);
+        }
+        let explained = if exact { group.in_use } else { 2.0 * group.in_use };
+        if explained < standing {
+            tracing::warn!(exchange = id, standing, in_use = group.in_use, "exchange lost its calls");
             self.calls.counters.up("errors exchanges without their calls");
-            return self.calls.exchange_ended(self.now, id, since);
+            self.calls.exchange_ended(self.now, id, since);
         }
-        let due = LinkDue::Compare { exchange: id, since, left };
-        self.calls.deadlines.add(self.now + COMPARE_AGAIN, Due::Link(due));
     }
 }
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -16,6 +16,7 @@
 //! 4. [`Engine::end_turn`].
 
 mod callers;
+mod close_reason;
 mod exchanges;
 mod failure_detector;
 mod journal;
@@ -37,6 +38,7 @@
 use crate::session::journal::Journal;
 use crate::session::{Inbox, Outbox};
 use callers::Callers;
+use close_reason::CloseReason;
 use exchanges::Link;
 use journal::Feed;
 use liveness::Check;
@@ -351,6 +353,15 @@
         self.fail(token, true, refused);
     }
 
+    /// Closes a connection of the engine's own accord.
+    fn close(&mut self, token: ConnId, reason: CloseReason) {
+        tracing::info!(conn = token, ?reason, "connection closed");
+        if let Some(name) = reason.counter() {
+            self.calls.counters.up(name);
+        }
+        self.lost(token);
+    }
+
     /// A connection is gone.
     pub fn lost(&mut self, token: ConnId) {
         self.fail(token, false, false);
@@ -390,10 +401,13 @@
         if catch_unwind(AssertUnwindSafe(|| self.take_in(token))).unwrap_or(false) {
             return;
         }
-        self.calls.counters.up("errors unreadable");
         match self.conns.get_mut(&token) {
-            Some(conn) if matches!(conn.peer, Peer::Caller(_)) => conn.spoilt = true,
-            _ => self.lost(token),
+            Some(conn) if matches!(conn.peer, Peer::Caller(_)) => {
+                conn.spoilt = true;
+                tracing::info!(conn = token, "caller cannot be read: closed once it is answered");
+                self.calls.counters.up("errors unreadable");
+            }
+            _ => self.close(token, CloseReason::Unreadable),
         }
     }
 
@@ -507,13 +521,12 @@
         // When memory is short, a caller that holds more than its share of it makes room.
         let over = caller && self.held > bounds.buffered && held > bounds.buffered / bounds.connections;
         if over || left > SLOW[1] {
-            let why = if over { "errors callers over the memory" } else { "errors slow readers" };
-            self.calls.counters.up(why);
-            self.lost(token);
+            let reason = if over { CloseReason::OutOfMemory } else { CloseReason::SlowReader };
+            self.close(token, reason);
             return None;
         }
         if spoilt || ended && left == 0 && !self.calls.open_on(token) {
-            self.lost(token);
+            self.close(token, CloseReason::Finished);
             return None;
         }
         Some(Interest { reads: !(ended || caller && left > SLOW[0]), writes: left > 0 })
@@ -534,7 +547,7 @@
             LinkDue::Silent(id, token) => self.silent_due(id, token),
             LinkDue::Redial(id) => self.redial_due(id),
             LinkDue::Liveness(id) => self.liveness_due(id),
-            LinkDue::Compare { exchange, since, left } => self.compare_due(exchange, since, left),
+            LinkDue::Compare { exchange, since } => self.compare_due(exchange, since),
             LinkDue::Ask => self.ask_journal(),
             LinkDue::Journal(token) => self.journal_due(token),
             LinkDue::Caller(token) => self.caller_due(token),
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -354,7 +354,16 @@
 /// one that was only cut off, until discovery told of its start.
 #[test]
 fn calls_are_over_when_an_exchange_comes_back_without_them_and_stand_when_it_still_has_them() {
-    for (free, over) in [(9, true), (5, true), (4, false)] {
+    // Free circuits of nine, whether a dial fails before, and when the nine calls are over, if they are.
+    let (soon, later) = (Some(700), Some(3_100));
+    for (free, dial_fails, over) in [
+        (9, true, soon),
+        (5, true, soon),
+        (4, true, later),
+        (0, true, None),
+        (9, false, soon),
+        (0, false, None),
+    ] {
         let mut bench = Bench::new();
         let (exchange, caller) = (bench.up(1), bench.caller());
         bench.comes(exchange, &notify(9));
@@ -364,14 +373,18 @@
         bench.comes(exchange, &notify(0));
         bench.turn(|e| e.lost(exchange));
         bench.wait(300 * MS);
-        let refused = bench.dialled(1).unwrap();
-        bench.turn(|e| e.unmade(refused, true));
-        bench.wait(300 * MS);
+        if dial_fails {
+            let refused = bench.dialled(1).unwrap();
+            bench.turn(|e| e.unmade(refused, true));
+            bench.wait(300 * MS);
+        }
         let again = bench.up(1);
         bench.comes(again, &notify(free));
-        bench.wait(1_000 * MS);
+        bench.wait(500 * MS);
+        assert_eq!(told(&mut bench, caller), [], "what it has to say of them comes meanwhile");
+        bench.wait((over.unwrap_or(4_000) - 500) * MS);
         let cut = told(&mut bench, caller);
-        assert_eq!(cut.len(), if over { 9 } else { 0 }, "{free} of 9 free: {cut:?}");
+        assert_eq!(cut.len(), if over.is_some() { 9 } else { 0 }, "{free} of 9 free: {cut:?}");
     }
 }
 
