Give the shutdown its own part: answer all before the kill, stay for standing calls

Cause: LinkDue::Leave stopped the program with set-ups open, and end_turn left as soon as none was open, so ends of standing calls were told to nobody; Engine::read_ended closed a caller's connection before the refusal that followed in the same turn was written; a successor ended with 'Address already in use'. Class: the end of one thing settled before what the same moment still had to bring. Change: engine::shutdown (serving, draining, leaving, stopped) plans the times, engine::leave carries them out; connections are half-closed and read on; the end of a caller's stream is settled after the turn's commands.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -119,6 +119,10 @@
     open: usize,
     /// Calls that stand, by exchange; exchanges without any are not here.
     standing_at: HashMap<ExchangeId, usize>,
+    /// After the signal to end: every set-up has its final answer by then.
+    answer_by: Option<Nanos>,
+    /// New set-ups are refused, for the process leaves.
+    refusing: bool,
     /// The states of groups as exchanges first told them since their connections came up.
     groups: HashMap<ExchangeId, GroupState>,
     /// Bytes of the set-ups that are owed an answer.
@@ -154,6 +158,8 @@
             next_call: 0,
             open: 0,
             standing_at: HashMap::new(),
+            answer_by: None,
+            refusing: false,
             groups: HashMap::new(),
             held: 0,
             bounds,
@@ -205,6 +211,26 @@
         (self.set, self.told, self.bounds) = (told.module.clone(), told, bounds);
     }
 
+    /// After the signal to end: every set-up, open or new, has its final answer by this time.
+    pub fn answer_all_by(&mut self, answer_by: Nanos) {
+        self.answer_by = Some(answer_by);
+        let guard = answer_by.saturating_sub(self.set.tick / 2);
+        let mut open: Vec<(u64, CallId)> = Vec::new();
+        for (id, call) in self.table.iter_mut().filter(|(_, c)| c.owed && c.deadline > answer_by) {
+            call.deadline = answer_by;
+            open.push((*id, call.handle));
+        }
+        open.sort_unstable();
+        for (id, handle) in open {
+            self.deadlines.add(guard, Due::Answer(id, handle));
+        }
+    }
+
+    /// While the process leaves, new set-ups are refused at once.
+    pub fn refuse_new(&mut self) {
+        self.refusing = true;
+    }
+
     /// What the settings say to the connections.
     pub fn told(&self) -> &Told {
         &self.told
@@ -290,6 +316,12 @@
             self.unservable(link, s.id);
             return false;
         };
+        let deadline = self.answer_by.map_or(now + s.wait, |by| by.min(now + s.wait));
+        if self.refusing || deadline <= now + self.set.tick {
+            self.counters.up("answered refused while leaving");
+            self.say(Some(link), s.id, ToCaller::Refused(self.set.max_pause.unwrap_or(0)));
+            return true;
+        }
         let size = s.number.len() + s.description.len();
         let standing = self.table.len() - self.open;
         let room = self.open < self.told.max_open
@@ -304,7 +336,6 @@
         }
         let handle = self.next_call;
         self.next_call += 1;
-        let deadline = now + s.wait;
         let width = s.width.unwrap_or(self.set.classes[class].width);
         self.ids.insert(handle, s.id);
         self.table.insert(
--- a/dillhold/src/call/words.rs
+++ b/dillhold/src/call/words.rs
@@ -208,6 +208,10 @@
     Releases,
     /// After the signal to end: callers stop coming.
     StopListening,
+    /// While leaving: connections from callers on which nothing is left are closed.
+    CloseUnused,
+    /// A connection whose writing side was closed is closed altogether.
+    Finished(u64),
     /// After the signal to end: whatever is still open is left.
     Leave,
 }
--- a/dillhold/src/engine/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -111,7 +111,7 @@
 
     /// Whether a caller's connection can still be written to, and is known to be one if that is asked for.
     fn can_hear(&self, token: ConnId, proven: bool) -> bool {
-        let conn = self.conns.get(&token).filter(|c| !c.ended && !c.spoilt);
+        let conn = self.conns.get(&token).filter(|c| !c.ended && !c.spoilt && !c.finishing);
         conn.is_some_and(|c| matches!(&c.peer, Peer::Caller(caller) if caller.proven || !proven))
     }
 
--- a/dillhold/src/engine/close_reason.rs
+++ b/dillhold/src/engine/close_reason.rs
@@ -25,6 +25,8 @@
     JournalSilent,
     /// What came cannot be read.
     Unreadable,
+    /// The process leaves, and nothing is left on the connection.
+    Leaving,
     /// The other side writes no more, or cannot be read on, and nothing is left to be written to it.
     Finished,
 }
@@ -43,7 +45,7 @@
             CloseReason::ExchangeMessageIncomplete => "closed exchanges with half a message",
             CloseReason::JournalSilent => "errors journal silent",
             CloseReason::Unreadable => "errors unreadable",
-            CloseReason::ExchangeVanished | CloseReason::Finished => return None,
+            CloseReason::ExchangeVanished | CloseReason::Leaving | CloseReason::Finished => return None,
         })
     }
 }
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -20,7 +20,9 @@
 mod exchanges;
 mod failure_detector;
 mod journal;
+mod leave;
 mod liveness;
+mod shutdown;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -42,12 +44,10 @@
 use exchanges::Link;
 use journal::Feed;
 use liveness::Check;
+use shutdown::{Phase, Shutdown};
 
-/// After the signal to end, new connections and set-ups keep coming for so long.
-const STILL_COMING: Nanos = 700 * MS;
-/// After the signal to end, nothing is waited for longer than the longest deadline of the classes, counted as
-/// the first of these where it is longer, and the second more.
-const LEAVE_AFTER: [Nanos; 2] = [3_000 * MS, 600 * MS];
+/// A connection whose writing side was closed is read on for so long at the most, so that what was written arrives.
+const FINISH_WITHIN: Nanos = 1_000 * MS;
 /// Bytes that may wait for one connection: past the first no caller is read from, past the second it is closed.
 /// All callers together stay within the memory that the program may have.
 const SLOW: [usize; 2] = [32 * 1024, 256 * 1024];
@@ -69,6 +69,8 @@
     },
     /// Close at once; nothing more is told of this connection.
     Close(ConnId),
+    /// Close the writing side. [`Engine::read_ended`] tells when the other side has closed too.
+    Finish(ConnId),
     /// Take callers at this address, and no more at another one.
     Listen(SocketAddr),
     /// Take in the callers that wait, and no more after these.
@@ -106,6 +108,8 @@
     ended: bool,
     /// What it sends cannot be read on: it is closed once what it was answered has been written.
     spoilt: bool,
+    /// Its writing side is closed; what still comes is dropped.
+    finishing: bool,
     /// When it was opened, and when bytes last came.
     opened: Nanos,
     read: Nanos,
@@ -129,9 +133,7 @@
     links: BTreeMap<ExchangeId, Link>,
     feed: Feed,
     listen: SocketAddr,
-    listening: bool,
-    ending: bool,
-    stopped: bool,
+    shutdown: Shutdown,
 }
 
 impl Engine {
@@ -156,9 +158,7 @@
             links: BTreeMap::new(),
             feed: Feed::new(config.journal),
             listen: config.listen,
-            listening: true,
-            ending: false,
-            stopped: false,
+            shutdown: Shutdown::new(),
         };
         engine.ask_journal();
         engine.carry_out();
@@ -213,33 +213,11 @@
 
     /// A turn ends. After the signal to end the last one gives [`Output::Stop`].
     pub fn end_turn(&mut self) {
-        let written = || self.conns.keys().all(|t| self.pending(*t).is_empty() || !self.is_caller(*t));
-        if self.ending && !self.listening && self.calls.open() == 0 && written() {
+        if self.has_left() {
             self.stop();
         }
     }
 
-    fn stop(&mut self) {
-        if !self.stopped {
-            self.stopped = true;
-            self.calls.close_intervals(self.now, true);
-            self.outputs.push_back(Output::Stop);
-        }
-    }
-
-    /// The signal to end: goes on serving for a while, then takes no more callers and stops once no set-up is
-    /// open, at the latest some time after the longest deadline.
-    pub fn end(&mut self) {
-        if !self.ending {
-            tracing::info!(open = self.calls.open(), "told to end");
-            self.ending = true;
-            self.calls.deadlines.add(self.now + STILL_COMING, Due::Link(LinkDue::StopListening));
-            let longest = self.calls.told().module.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-            let leave = self.now + longest.min(LEAVE_AFTER[0]) + LEAVE_AFTER[1];
-            self.calls.deadlines.add(leave, Due::Link(LinkDue::Leave));
-        }
-    }
-
     /// Whether this configuration can take the place of the present one while calls are open and stand.
     pub fn admits(&self, told: &Told) -> bool {
         self.calls.admits(told)
@@ -247,7 +225,8 @@
 
     /// Goes on with another configuration, which [`Engine::admits`] has let through. Calls and connections stay.
     pub fn reconfigure(&mut self, config: Config, told: Told) {
-        if config.listen != self.listen && self.listening {
+        let listening = matches!(self.shutdown.phase(), Phase::Serving | Phase::Draining);
+        if config.listen != self.listen && listening {
             self.listen = config.listen;
             self.outputs.push_back(Output::Listen(config.listen));
         }
@@ -293,8 +272,8 @@
         let token = self.next_conn;
         self.next_conn += 1;
         let (opened, read) = (self.now, self.now);
-        self.conns
-            .insert(token, Conn { peer, connecting, ended: false, spoilt: false, opened, read, held: 0 });
+        let (ended, spoilt, finishing, held) = (false, false, false, 0);
+        self.conns.insert(token, Conn { peer, connecting, ended, spoilt, finishing, opened, read, held });
         token
     }
 
@@ -394,6 +373,9 @@
         inbox.filled(count);
         if let Some(conn) = self.conns.get_mut(&token) {
             conn.read = now;
+            if conn.finishing {
+                return self.drop_input(token);
+            }
         }
         self.touched.insert(token);
         // A panic costs the connection that it came from. What a caller was answered before goes out first; to
@@ -432,11 +414,11 @@
         }
     }
 
-    /// The other side writes no more. A caller may still read the answers it is owed.
+    /// The other side writes no more. A caller may still read the answers it is owed, those that follow in this
+    /// turn from what it wrote before included.
     pub fn read_ended(&mut self, token: ConnId) {
-        let owed = self.calls.open_on(token) || !self.pending(token).is_empty();
         match self.conns.get_mut(&token) {
-            Some(conn) if matches!(conn.peer, Peer::Caller(_)) && owed => {
+            Some(conn) if matches!(conn.peer, Peer::Caller(_)) && !conn.finishing => {
                 conn.ended = true;
                 self.touched.insert(token);
             }
@@ -444,6 +426,27 @@
         }
     }
 
+    /// Closes the writing side of a caller's connection, on which nothing is left. It is read on until the caller
+    /// closes too: closed with bytes unread, it would be reset, and what was written last might not arrive.
+    fn finish(&mut self, token: ConnId, reason: CloseReason) {
+        let Some(conn) = self.conns.get_mut(&token) else { return };
+        tracing::info!(conn = token, ?reason, "connection finished");
+        conn.finishing = true;
+        if let Peer::Caller(caller) = &mut conn.peer {
+            caller.heard_all();
+        }
+        self.outputs.push_back(Output::Finish(token));
+        self.calls.deadlines.add(self.now + FINISH_WITHIN, Due::Link(LinkDue::Finished(token)));
+    }
+
+    /// Drops what came on a connection that is finishing.
+    fn drop_input(&mut self, token: ConnId) {
+        if let Some((inbox, _)) = self.buffers(token) {
+            let count = inbox.rest().len();
+            inbox.take(count);
+        }
+    }
+
     fn fail(&mut self, token: ConnId, unmade: bool, refused: bool) {
         let Some(conn) = self.forget(token) else { return };
         match conn.peer {
@@ -552,10 +555,9 @@
             LinkDue::Journal(token) => self.journal_due(token),
             LinkDue::Caller(token) => self.caller_due(token),
             LinkDue::Releases => self.deliver(None),
-            LinkDue::StopListening => {
-                self.listening = false;
-                self.outputs.push_back(Output::StopListening);
-            }
+            LinkDue::StopListening => self.stop_listening(),
+            LinkDue::CloseUnused => self.close_unused(),
+            LinkDue::Finished(token) => self.lost(token),
             LinkDue::Leave => self.stop(),
         }
     }
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pitchgw::interface::Nanos;
 use rustix::buffer::spare_capacity;
@@ -35,6 +35,10 @@
 /// Connections that wait to be let in; the system has a bound of its own. Past it the system drops what comes,
 /// and a caller that meets a crowd tries again a second later, when its call is too late.
 const BACKLOG: i32 = 4096;
+/// At the start the address may still be in use, by a predecessor that leaves. It is waited for so long, which is
+/// what a restart may take, and tried so often.
+const ADDRESS_WAIT: Duration = Duration::from_secs(10);
+const ADDRESS_RETRY: Duration = Duration::from_millis(20);
 /// Connections taken in within one turn; the others wait for the next.
 const ACCEPTS: usize = 256;
 /// Reads of one connection in a turn, by whether a caller is at its other end. Epoll tells again of what is left.
@@ -77,8 +81,24 @@
     Ok((config, told))
 }
 
-fn listen(epoll: &std::os::fd::OwnedFd, at: SocketAddr) -> Result<TcpListener, String> {
-    let listener = TcpListener::bind(at).map_err(text("listen"))?;
+/// Binds the address of the start, and waits for it while it is in use.
+fn bind_when_free(at: SocketAddr) -> io::Result<TcpListener> {
+    let give_up = Instant::now() + ADDRESS_WAIT;
+    let mut said = false;
+    loop {
+        match TcpListener::bind(at) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < give_up => {
+                if !std::mem::replace(&mut said, true) {
+                    eprintln!("dillhold: listen: {at} is in use; waits for it");
+                }
+                std::thread::sleep(ADDRESS_RETRY);
+            }
+            bound => return bound,
+        }
+    }
+}
+
+fn listen(epoll: &std::os::fd::OwnedFd, listener: TcpListener) -> Result<TcpListener, String> {
     rustix::net::listen(&listener, BACKLOG).map_err(|e| format!("listen: {e}"))?;
     listener.set_nonblocking(true).map_err(text("listen"))?;
     watch(epoll, listener.as_fd(), LISTENER)?;
@@ -94,9 +114,10 @@
     /// Reads the configuration and opens the listener, and the operator's folder if he has named one.
     pub fn start(path: String, operator: &Operator) -> Result<Driver, String> {
         let (config, told) = read_config(&path)?;
+        let at = config.listen;
+        let listener = bind_when_free(at).map_err(text("listen"))?;
         let mut clock = Clock::start();
         let now = clock.read();
-        let at = config.listen;
         let mut engine = Engine::new(now, config, told)?;
         let mut archive = None;
         if let Some(measure) = &operator.measure {
@@ -105,7 +126,7 @@
         }
 
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(|e| format!("epoll: {e}"))?;
-        let prepared = Some(listen(&epoll, at)?);
+        let prepared = Some(listen(&epoll, listener)?);
         let mut ends = Vec::new();
         let signals =
             [(SIGNAL_END, &[SIGTERM, SIGINT][..]), (SIGNAL_PRINT, &[SIGUSR1]), (SIGNAL_RELOAD, &[SIGHUP])];
@@ -230,6 +251,11 @@
                 Output::Close(conn) => {
                     self.conns.remove(&conn);
                 }
+                Output::Finish(conn) => {
+                    if let Some(conn) = self.conns.get(&conn) {
+                        let _ = conn.stream.shutdown(Shutdown::Write);
+                    }
+                }
                 Output::Listen(_) => {
                     self.listener = self.prepared.take().or(self.listener.take());
                 }
@@ -323,7 +349,8 @@
             return Err("configuration: settings: own exchange, layout or classes differ: start anew".into());
         }
         if config.listen != self.listen && self.listener.is_some() {
-            self.prepared = Some(listen(&self.epoll, config.listen)?);
+            let listener = TcpListener::bind(config.listen).map_err(text("listen"))?;
+            self.prepared = Some(listen(&self.epoll, listener)?);
             self.listen = config.listen;
         }
         self.engine.reconfigure(config, told);
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -82,6 +82,11 @@
         })
     }
 
+    /// All that was written arrives: the connection is closed in order.
+    pub fn heard_all(&mut self) {
+        self.unheard.clear();
+    }
+
     /// Writes what a caller is told.
     pub fn say(&mut self, now: Nanos, id: u64, say: &ToCaller) {
         self.answered = true;
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -111,16 +111,7 @@
     }
 
     fn set_up(&mut self, caller: ConnId, id: u64) {
-        let mut out = Vec::new();
-        let figures = [
-            (100, &b"view"[..]),
-            (101, b"3000"),
-            (104, b"77"),
-            (105, b"dest:1;width:1;via:-1"),
-            (115, DESCRIPTION),
-        ];
-        binary::write(&mut out, binary::kind::SET_UP, id, &figures);
-        self.comes(caller, &out);
+        self.comes(caller, &set_up_message(id, b"view"));
     }
 
     /// What was written on a connection since the last look at it.
@@ -135,6 +126,19 @@
     bytes.starts_with(text.as_bytes())
 }
 
+/// A set-up of three seconds for exchange 1.
+fn set_up_message(id: u64, class: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    let figures =
+        [(100, class), (101, b"3000"), (104, b"77"), (105, b"dest:1;width:1;via:-1"), (115, DESCRIPTION)];
+    binary::write(&mut out, binary::kind::SET_UP, id, &figures);
+    out
+}
+
+fn bye(id: u64) -> Vec<u8> {
+    format!("BYE sip:x@net SIP/2.0\r\nCall-ID: {id:016x}\r\nCSeq: 2 BYE\r\nl: 0\r\n\r\n").into_bytes()
+}
+
 fn ok(id: u64) -> Vec<u8> {
     let mut out = Vec::new();
     let (line, call) = (format_args!("SIP/2.0 200 OK"), format!("{id:016x}"));
@@ -230,7 +234,7 @@
 }
 
 #[test]
-fn told_to_end_it_serves_on_stops_listening_and_stops_when_no_set_up_is_open() {
+fn told_to_end_it_serves_on_stops_listening_and_stops_when_nothing_is_left() {
     let mut bench = Bench::new();
     let (exchange, caller) = (bench.up(1), bench.caller());
     bench.turn(Engine::end);
@@ -240,10 +244,88 @@
     bench.comes(exchange, b"OPTIONS sip:x@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nl: 0\r\n\r\n");
     bench.wait(200 * MS);
     assert!(bench.outputs.contains(&Output::StopListening));
-    assert!(!bench.outputs.contains(&Output::Stop), "a set-up is open");
+    bench.wait(200 * MS);
+    assert!(!bench.outputs.contains(&Output::Finish(caller)), "a set-up is open");
     bench.comes(exchange, &ok(7));
-    assert_eq!(bench.outputs.last(), Some(&Output::Stop));
-    assert!(!bench.said(caller).is_empty());
+    assert_eq!(told(&mut bench, caller), [(binary::kind::ANSWER, 7, None)]);
+    bench.wait(1_000 * MS);
+    assert!(!bench.outputs.contains(&Output::Finish(caller)), "a call stands on it");
+    bench.comes(exchange, &bye(7));
+    assert_eq!(told(&mut bench, caller), [(binary::kind::RELEASE, 7, Some(16))]);
+    bench.wait(200 * MS);
+    assert!(bench.outputs.contains(&Output::Finish(caller)), "nothing is left on it");
+    assert!(bench.outputs.contains(&Output::Stop));
+}
+
+/// Set-ups that were still open at the end were once left without an answer, and those that came on open connections
+/// were taken until the last moment.
+#[test]
+fn told_to_end_it_refuses_what_comes_late_and_answers_all_before_the_kill() {
+    let mut bench = Bench::new();
+    let (exchange, caller) = (bench.up(1), bench.caller());
+    stand(&mut bench, caller, exchange, 1);
+    bench.turn(Engine::end);
+    bench.set_up(caller, 7);
+    // A second signal begins nothing anew.
+    bench.wait(500 * MS);
+    bench.turn(Engine::end);
+    bench.wait(250 * MS);
+    let _ = told(&mut bench, caller);
+    for (id, wait) in [(8, 0), (9, 2_000)] {
+        bench.wait(wait * MS);
+        bench.set_up(caller, id);
+        let refusal = told(&mut bench, caller).into_iter().find(|t| t.1 == id);
+        assert_eq!(refusal, Some((binary::kind::RELEASE, id, Some(42))), "at once");
+    }
+    // The longest deadline is 9 s and counts as 3 s: the kill may come 3.7 s after the signal.
+    bench.wait(850 * MS);
+    assert!(bench.outputs.contains(&Output::Stop), "3.6 s after the signal");
+}
+
+#[test]
+fn a_set_up_that_is_open_at_the_end_has_its_answer_before() {
+    let mut bench = Bench::new();
+    let (exchange, caller) = (bench.up(1), bench.caller());
+    bench.wait(1_000 * MS);
+    bench.turn(Engine::end);
+    bench.wait(650 * MS);
+    bench.set_up(caller, 7); // it waits 3 s: 50 ms past the end
+    let mut answers = Vec::new();
+    for _ in 0..58 {
+        // The exchange lives and answers nothing.
+        let at = bench.dialled(1).unwrap();
+        if at == exchange {
+            bench.comes(at, &notify(3));
+        } else {
+            bench.up(1);
+        }
+        bench.wait(50 * MS);
+        answers.extend(told(&mut bench, caller));
+    }
+    assert_eq!(answers.len(), 1, "{answers:?}");
+    assert_eq!((answers[0].0, answers[0].1), (binary::kind::RELEASE, 7));
+}
+
+/// A refusal that followed in the turn in which the caller's stream ended was once never written.
+#[test]
+fn a_set_up_and_the_end_of_its_stream_in_one_turn_are_answered() {
+    let mut bench = Bench::new();
+    bench.up(1);
+    let caller = bench.caller();
+    let bytes = set_up_message(7, b"none");
+    bench.turn(|e| {
+        for part in bytes.chunks(64) {
+            e.room(caller).unwrap()[..part.len()].copy_from_slice(part);
+            e.filled(caller, part.len());
+        }
+        e.read_ended(caller);
+    });
+    assert_eq!(told(&mut bench, caller), [(binary::kind::RELEASE, 7, Some(41))]);
+    assert!(bench.closed(caller));
+    // The same with nothing to be answered.
+    let silent = bench.caller();
+    bench.turn(|e| e.read_ended(silent));
+    assert!(bench.closed(silent));
 }
 
 /// What a caller was told on a connection since the last look: types and causes, in order.
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use common::*;
@@ -276,6 +277,51 @@
     assert!(printed.contains("counter answered stands 2\n"), "{printed}");
 }
 
+#[test]
+fn after_sigterm_late_set_ups_are_refused_and_the_ends_of_standing_calls_are_told() {
+    let (mut program, mut caller, mut exchange, _, _l) = scene("leaves");
+    stand(&mut caller, &mut exchange, 41);
+    program.signal("-TERM");
+    // New connections are refused once callers have had their time to learn of the end.
+    while TcpStream::connect(program.listen).is_ok() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    for (id, signal) in [(42, "-TERM"), (43, "-INT"), (44, "-HUP")] {
+        program.signal(signal);
+        caller.set_up(id);
+        assert_eq!(caller.told(), (12, id, 42, vec![]), "at once, and not when the process leaves");
+    }
+    exchange.say_sip("BYE sip:x@net SIP/2.0", 41, (2, "BYE"), "Reason: Q.850;cause=16\r\n", b"");
+    assert_eq!(caller.told(), (12, 41, 16, vec![]));
+    caller.closed();
+    assert!(program.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_successor_waits_for_the_address_that_its_predecessor_still_has() {
+    let (predecessor, journal) = (listener(), listener());
+    let listen = predecessor.local_addr().unwrap();
+    let config = config(listen, journal.local_addr().unwrap(), &[]);
+    let child = launch(&config.to_string(), "successor");
+    let mut program = Program { child, listen, config, path: config_path("successor") };
+    program.printed("is in use; waits for it\n");
+    drop(predecessor);
+    // It asks the journal once it serves.
+    let _asked = accept(&journal);
+    program.caller().nothing_else();
+}
+
+#[test]
+fn a_half_closed_caller_whose_set_up_is_refused_at_once_is_told_so() {
+    let (program, ..) = scene("half-refused");
+    for id in 50..62 {
+        let mut caller = program.caller();
+        caller.say(1, id, &[(100, b"none"), (101, b"900"), (104, b"1"), (105, b"dest:1"), (115, b"d")]);
+        caller.stream.shutdown(std::net::Shutdown::Write).unwrap();
+        assert_eq!(caller.told(), (12, id, 41, vec![]));
+    }
+}
+
 #[test]
 fn counters_are_printed_on_request() {
     let (mut program, mut caller, mut exchange, _, _l) = scene("counters");
--- a/rehearsal/src/virtual_clock.rs
+++ b/rehearsal/src/virtual_clock.rs
@@ -392,6 +392,12 @@
                         self.later(Delivery::Closed(wire));
                     }
                 }
+                Output::Finish(conn) => {
+                    if let Some(wire) = self.hosts[host].conns.get(&conn).copied() {
+                        self.later(Delivery::Closed(wire));
+                        self.inbound(host, Inbound::Ended(wire));
+                    }
+                }
                 Output::Listen(_) => self.hosts[host].listening = true,
                 Output::StopListening => self.hosts[host].listening = false,
                 Output::Stop => stopped = true,
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -28,6 +28,8 @@
     wires: BTreeMap<usize, Vec<WireId>>,
     /// Releases for a controller that has no connection.
     unsaid: BTreeMap<usize, Vec<(u64, u8)>>,
+    /// Releases that were said and not answered yet, by call: the wire and the cause.
+    unanswered: BTreeMap<u64, (WireId, u8)>,
 }
 
 impl Machine {
@@ -44,6 +46,7 @@
             address_of,
             wires: BTreeMap::new(),
             unsaid: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
         }
     }
 }
@@ -127,6 +130,19 @@
         if let Some(wires) = self.machines[machine].wires.get_mut(&controller) {
             wires.retain(|w| *w != wire);
         }
+        // A release that may not have arrived is said again on another connection, or on the next one.
+        let mut lost: Vec<(u64, u8)> = Vec::new();
+        self.machines[machine].unanswered.retain(|id, (on, cause)| {
+            if *on == wire {
+                lost.push((*id, *cause));
+            }
+            *on != wire
+        });
+        if self.machines[machine].reach == Reach::Up {
+            for (id, cause) in lost {
+                self.say_release(controller, machine, id, cause);
+            }
+        }
         // What was said of an attempt on a silent connection, its end included, was not heard.
         let on: Vec<u64> = self.legs.iter().filter(|(_, l)| l.wire == wire).map(|(id, _)| *id).collect();
         for leg in on {
@@ -173,6 +189,9 @@
                     self.send(wire, &out);
                     self.released_by_controller(controller, id);
                 }
+                Start::Response(_) => {
+                    self.machines[machine].unanswered.remove(&id);
+                }
                 _ => {}
             }
             inbox.take(taken);
@@ -456,12 +475,15 @@
     }
 
     fn say_release(&mut self, controller: usize, machine: usize, id: u64, cause: u8) {
-        let m = &self.machines[machine];
-        let open = m.wires.get(&controller).and_then(|w| w.last()).copied();
-        let Some(wire) = open.filter(|w| self.passes(*w)) else {
+        let wires = self.machines[machine].wires.get(&controller).map_or(&[][..], |w| w);
+        let set_up_on = self.leg_of.get(&(controller, id)).and_then(|leg| self.legs.get(leg)).map(|l| l.wire);
+        // The connection of its set-up, or else any open one.
+        let own = wires.iter().find(|w| Some(**w) == set_up_on).or(wires.last()).copied();
+        let Some(wire) = own.filter(|w| self.passes(*w)) else {
             let m = &mut self.machines[machine];
             return m.unsaid.entry(controller).or_default().push((id, cause));
         };
+        self.machines[machine].unanswered.insert(id, (wire, cause));
         self.audit.saw(self.now, Seen::Released { controller, id, cause });
         let further = format!("Reason: Q.850;cause={cause}\r\n");
         let mut out = Vec::new();
