Replace a silent connection to a living exchange after 5 s, while calls stand there

Cause: checks that are heard count as life of the exchange, and hid that nothing came on the connection on which calls had been set up; what the exchange said there was lost. Change: such a connection is replaced after 5 s, where the exchange is known to greet and no attempt is out; what was not heard is said again on the next one.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -608,6 +608,11 @@
         self.over_standing(now, id, Outcome::Cut);
     }
 
+    /// Whether an attempt is out at an exchange.
+    pub fn attempts_out_at(&self, exchange: ExchangeId) -> bool {
+        self.table.values().any(|c| c.out.is_some_and(|o| o.exchange == exchange))
+    }
+
     /// How many calls stand on an exchange.
     pub fn standing_at(&self, exchange: ExchangeId) -> usize {
         self.standing_at.get(&exchange).copied().unwrap_or(0)
--- a/dillhold/src/engine/close_reason.rs
+++ b/dillhold/src/engine/close_reason.rs
@@ -17,6 +17,8 @@
     SlowReader,
     /// An exchange said nothing at all after a set-up.
     ExchangeSilent,
+    /// Nothing came from an exchange for long on this connection, though calls stand there.
+    ExchangeQuiet,
     /// An exchange's message stayed incomplete.
     ExchangeMessageIncomplete,
     /// An exchange gave no sign of life and is taken for dead.
@@ -42,6 +44,7 @@
             CloseReason::OutOfMemory => "errors callers over the memory",
             CloseReason::SlowReader => "errors slow readers",
             CloseReason::ExchangeSilent => "closed exchanges that stayed silent",
+            CloseReason::ExchangeQuiet => "closed exchanges that were quiet",
             CloseReason::ExchangeMessageIncomplete => "closed exchanges with half a message",
             CloseReason::JournalSilent => "errors journal silent",
             CloseReason::Unreadable => "errors unreadable",
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -39,8 +39,9 @@
     /// Refusals in a row, and when the last was counted.
     refused: u32,
     refused_at: Nanos,
-    /// When a connection last came up.
+    /// When a connection last came up, and when something last came on one.
     up_at: Nanos,
+    pub(super) heard_at: Nanos,
     /// A redial is among the deadlines.
     redial: bool,
     /// When the first set-up was sent since anything came, and connections in a row that stayed silent.
@@ -53,6 +54,7 @@
     fn heard(&mut self, now: Nanos) {
         self.unheard_since = None;
         self.silent = 0;
+        self.heard_at = now;
         if self.session.asked {
             self.detector.heard(now);
         } else {
@@ -96,6 +98,7 @@
                     refused: 0,
                     refused_at: 0,
                     up_at: 0,
+                    heard_at: self.now,
                     redial: false,
                     unheard_since: None,
                     silent: 0,
@@ -128,7 +131,9 @@
     /// The connection to an exchange is up.
     pub(super) fn exchange_up(&mut self, id: ExchangeId) {
         if let Some(link) = self.links.get_mut(&id) {
-            (link.refused, link.up_at) = (0, self.now);
+            link.refused = 0;
+            link.up_at = self.now;
+            link.heard_at = self.now;
             link.detector.connected(self.now);
             if link.session.holds_set_ups() {
                 self.listen_for(id);
--- a/dillhold/src/engine/failure_detector.rs
+++ b/dillhold/src/engine/failure_detector.rs
@@ -12,7 +12,7 @@
 /// An exchange that has given no sign of life for so long is checked.
 const CHECK_AFTER: Nanos = 2_000 * MS;
 /// Time from one look at an exchange under suspicion to the next.
-const LOOK_AGAIN: Nanos = 250 * MS;
+pub const LOOK_AGAIN: Nanos = 250 * MS;
 /// A connection that checks an exchange may take so long to come up. Some come up late, by up to a second.
 pub const CHECK_TIMEOUT: Nanos = 1_000 * MS;
 /// An exchange that has given no sign of life for so long is dead. A caller has to be told within 8 s of the end of
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Whether the exchange says something on each new connection unasked.
+    pub fn greets(&self) -> bool {
+        self.greets
+    }
+
     /// How long nothing has come.
     pub fn silent_for(&self, now: Nanos) -> Nanos {
         now.saturating_sub(self.last_sign)
--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -4,7 +4,7 @@
 use pitchgw::interface::{ExchangeId, Nanos};
 
 use super::close_reason::CloseReason;
-use super::failure_detector::{Verdict, CHECK_TIMEOUT};
+use super::failure_detector::{Verdict, CHECK_TIMEOUT, LOOK_AGAIN};
 use super::{ConnId, Engine, Peer};
 use crate::call::{Due, LinkDue};
 use crate::clock::MS;
@@ -19,6 +19,11 @@
 /// An exchange that has not told the state of its group so long after it could be reached again does not tell it.
 const TOLD_WITHIN: Nanos = 2_000 * MS;
 
+/// A connection on which nothing came for so long, though calls stand, is replaced even if the exchange lives: it may
+/// have fallen silent, and what the exchange says there is lost. It says it again on the next connection; callers have
+/// to be told within 8 s.
+const REPLACE_AFTER: Nanos = 5_000 * MS;
+
 /// A connection that only checks whether an exchange lives. No set-up is sent on it; what the exchange says there is
 /// heard like anything else.
 pub struct Check {
@@ -46,8 +51,12 @@
             link.detector.watching = false;
             return self.end_check(id);
         }
+        let replace_at = link.heard_at + REPLACE_AFTER;
         match link.detector.verdict(self.now) {
-            Verdict::Alive(look_at) => self.look_again(id, look_at),
+            Verdict::Alive(look_at) => {
+                self.replace_silent(id);
+                self.look_again(id, look_at.min(replace_at).max(self.now + LOOK_AGAIN));
+            }
             Verdict::Suspect(look_at) => {
                 self.check(id);
                 self.look_again(id, look_at);
@@ -93,18 +102,32 @@
         let now = self.now;
         let Some(Peer::Check(check)) = self.conns.get_mut(&token).map(|c| &mut c.peer) else { return };
         check.up_at = now;
-        if let Some(link) = self.links.get_mut(&check.exchange) {
+        let id = check.exchange;
+        if let Some(link) = self.links.get_mut(&id) {
             link.detector.connected(now);
         }
+        self.reachable_again(id);
     }
 
     /// Bytes came on a connection that checks an exchange; false if they cannot be read.
     pub(super) fn check_said(&mut self, token: ConnId) -> bool {
         let Some(Peer::Check(check)) = self.conns.get_mut(&token).map(|c| &mut c.peer) else { return true };
-        if let Some(link) = self.links.get_mut(&check.exchange) {
+        let id = check.exchange;
+        if let Some(link) = self.links.get_mut(&id) {
             link.detector.heard_unasked(self.now, check.up_at);
         }
-        check.session.feed(self.now, check.exchange, &mut self.calls).is_ok()
+        check.session.feed(self.now, id, &mut self.calls).is_ok()
+    }
+
+    /// Replaces the connection to an exchange that lives, if nothing came on it for long. Not while attempts are out,
+    /// and not where the exchange greets no connection: the checks of such a one go on for as long as it is quiet.
+    fn replace_silent(&mut self, id: ExchangeId) {
+        let Some(link) = self.links.get(&id) else { return };
+        let Some(conn) = link.conn.filter(|conn| self.is_up(*conn)) else { return };
+        let quiet = link.detector.greets() && self.now >= link.heard_at + REPLACE_AFTER;
+        if quiet && !self.calls.attempts_out_at(id) {
+            self.close(conn, CloseReason::ExchangeQuiet);
+        }
     }
 
     /// A connection that checks an exchange is gone, or did not come up.
