--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod dimension;
 mod dimension_plots;
 mod erlang;
+mod soak;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -80,6 +81,10 @@
     Dimension(dimension::Dimension),
     /// Erlang's loss formula: circuits for a loss, or the loss on circuits, bare on the last line.
     Erlang(erlang::Erlang),
+    /// Play short, dense runs of real processes, with faults drawn from seeds, and judge every rule.
+    ///
+    /// Exits with 0 if no rule was broken, with 1 if one was, and with 2 if nothing can be played.
+    Soak(soak::Soak),
     /// Put two reports side by side: two builds, or two settings.
     Compare {
         /// The first report, as `rehearse --json` wrote it.
@@ -203,10 +208,14 @@
                 }
                 (Clock::Wall, trace) => {
                     let played = (0..u64::from(runs)).map(|run| {
-                        let (run, lines) =
-                            wall_clock::rehearse_once(&script, seed + run, short, trace, &program)?;
-                        lines.iter().for_each(|line| println!("{line}"));
-                        Ok(run)
+                        let options = wall_clock::Options { short, trace, logs: None };
+                        let played = wall_clock::rehearse_once(&script, seed + run, &program, &options)?;
+                        played.traced.iter().for_each(|line| println!("{line}"));
+                        let late = played.lateness;
+                        if late.too_late() {
+                            eprintln!("dillholdctl: this machine was too busy: {late:?}");
+                        }
+                        Ok(played.run)
                     });
                     Report::new(&script, "wall", seconds, played.collect::<Result<_, String>>()?)
                 }
@@ -225,6 +234,7 @@
         }
         Command::Dimension(asked) => dimension::run(&asked),
         Command::Erlang(asked) => erlang::run(&asked),
+        Command::Soak(asked) => soak::run(&asked),
         Command::Compare { a, b } => {
             println!("{}", compare::compare(&read_report(&a)?, &read_report(&b)?)?);
             Ok(ExitCode::SUCCESS)
--- a/dillhold/src/engine/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -22,6 +22,9 @@
 /// it is due within a second.
 const FOR_A_CALLER: Nanos = 400 * MS;
 
+/// A release for which no such connection came is told to so many others at once.
+const TOLD_AT_ONCE: usize = 16;
+
 /// The books on connections from callers.
 #[derive(Default)]
 pub struct Callers {
@@ -52,6 +55,8 @@
     /// one that has been quiet for longest. One that bears a call, or has an answer still to be written, stays:
     /// closing it once cost callers their answers, and their releases went to strangers.
     fn make_room(&mut self) -> bool {
+        // What was decided in this turn is written first: a connection may look idle with its answer on the way.
+        self.carry_out();
         let free = |token: &u64| !self.calls.bears(*token) && self.pending(*token).is_empty();
         let callers = self.conns.iter().filter_map(|(token, conn)| match &conn.peer {
             Peer::Caller(caller) => {
@@ -68,6 +73,8 @@
 
     /// Looks at a connection from callers; one that is of no use is closed.
     pub(super) fn caller_due(&mut self, token: ConnId) {
+        // An answer that was decided in this turn is a word too.
+        self.carry_out();
         let Some(conn) = self.conns.get(&token) else { return };
         let Peer::Caller(caller) = &conn.peer else { return };
         let since = |at: Nanos| self.now.saturating_sub(at);
@@ -131,8 +138,10 @@
         if self.callers.undelivered.is_empty() {
             return;
         }
-        let any = || self.conns.keys().rev().copied().find(|token| self.can_hear(*token, false));
-        let Some(token) = proven.or_else(any) else { return };
+        let to = proven.map_or_else(|| self.may_be_callers(), |token| vec![token]);
+        if to.is_empty() {
+            return;
+        }
         let until = self.now;
         let waits = |since: Nanos| proven.is_none() && until < since + FOR_A_CALLER;
         let waiting = std::mem::take(&mut self.callers.undelivered);
@@ -140,8 +149,24 @@
             if waits(since) {
                 self.callers.undelivered.push((since, id, cause));
             } else {
-                self.write_caller(token, id, &ToCaller::Released(cause));
+                tracing::debug!(
+                    call = format_args!("{id:016x}"),
+                    cause,
+                    ?to,
+                    "release told on other connections"
+                );
+                to.iter().for_each(|token| self.write_caller(*token, id, &ToCaller::Released(cause)));
             }
         }
     }
+
+    /// The newest connections at whose other ends callers may be. None of them is known to have one, and strangers
+    /// connect too: what ends a call is told to several.
+    fn may_be_callers(&self) -> Vec<ConnId> {
+        let sound = |token: &ConnId| match self.conns.get(token).map(|c| &c.peer) {
+            Some(Peer::Caller(caller)) => self.can_hear(*token, false) && caller.is_sound(),
+            _ => false,
+        };
+        self.conns.keys().rev().copied().filter(sound).take(TOLD_AT_ONCE).collect()
+    }
 }
--- a/dillhold/src/engine/leave.rs
+++ b/dillhold/src/engine/leave.rs
@@ -44,6 +44,8 @@
         if self.shutdown.phase() != Phase::Leaving {
             return;
         }
+        // What was decided in this turn is written first: a connection may look unused with its answer on the way.
+        self.carry_out();
         let unused: Vec<ConnId> = self.conns.keys().copied().filter(|token| self.is_unused(*token)).collect();
         for token in unused {
             self.finish(token, CloseReason::Leaving);
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -82,6 +82,11 @@
         })
     }
 
+    /// Whether nothing that could not be served has come, and no half message waits.
+    pub fn is_sound(&self) -> bool {
+        self.faults == 0 && self.inbox.rest().is_empty()
+    }
+
     /// All that was written arrives: the connection is closed in order.
     pub fn heard_all(&mut self) {
         self.unheard.clear();
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -306,6 +306,42 @@
     assert_eq!((answers[0].0, answers[0].1), (binary::kind::RELEASE, 7));
 }
 
+/// An answer that was decided in the turn in which its connection was looked at was once never written.
+#[test]
+fn an_answer_leaves_before_its_connection_is_closed_as_unused() {
+    let mut bench = Bench::new();
+    let (_exchange, caller) = (bench.up(1), bench.caller());
+    bench.turn(Engine::end);
+    bench.wait(400 * MS);
+    bench.set_up(caller, 7);
+    let mut answers = Vec::new();
+    while !bench.outputs.contains(&Output::Finish(caller)) {
+        assert!(!bench.outputs.contains(&Output::Stop), "closed in order before the end");
+        answers.extend(told(&mut bench, caller));
+        // Everything is due in one turn.
+        bench.now += 500 * MS;
+        bench.turn(|_| {});
+    }
+    answers.extend(told(&mut bench, caller));
+    assert_eq!(answers.len(), 1, "{answers:?}");
+}
+
+/// Right after a start nobody is known to be a caller, and the release of a call of before went to a stranger.
+#[test]
+fn a_release_for_nobody_known_is_told_to_all_who_may_be_callers() {
+    let mut bench = Bench::new();
+    let (exchange, callers) = (bench.up(1), [bench.caller(), bench.caller()]);
+    let noisy = bench.caller();
+    bench.comes(noisy, &set_up_message(3, b"none"));
+    bench.said(noisy);
+    bench.comes(exchange, &bye(99));
+    bench.wait(500 * MS);
+    for caller in callers {
+        assert_eq!(told(&mut bench, caller), [(binary::kind::RELEASE, 99, Some(16))]);
+    }
+    assert_eq!(told(&mut bench, noisy), []);
+}
+
 /// A refusal that followed in the turn in which the caller's stream ended was once never written.
 #[test]
 fn a_set_up_and_the_end_of_its_stream_in_one_turn_are_answered() {
--- a/rehearsal/src/audit.rs
+++ b/rehearsal/src/audit.rs
@@ -6,7 +6,7 @@
 
 use dillhold::directory::SLACK;
 use pitchgw::interface::Nanos;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::script::Script;
 use crate::world::{MS, SEC};
@@ -24,6 +24,8 @@
 /// The same where its exchange could not say so, counted from the end of the call. A controller has to find out
 /// by itself: that the node register knew nothing yet is no excuse.
 const RELEASED_AFTER_END: Nanos = 8 * SEC + SLACK;
+/// A set-up that comes later than this after SIGTERM has to be answered before SIGKILL.
+const TAKEN_LATE: Nanos = 700 * MS;
 /// What is over is remembered for so long, for what crosses its end.
 const REMEMBERED: Nanos = 20 * SEC;
 /// Breaches that are written out in full; the others are counted.
@@ -60,11 +62,55 @@
     Unchanged,
     /// What a controller writes can be read.
     Readable,
+    /// A controller ends when it is told to, and not before.
+    RunsOn,
+    /// It is ready in time after its start.
+    ReadyInTime,
+    /// It keeps within its memory and its descriptors.
+    WithinLimits,
+    /// A bad caller is told something or closed in time.
+    BadCallerTold,
+}
+
+/// What came closest to a limit, or went furthest past it, in seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Worst {
+    /// From the end of a call, of which its exchange could say nothing, until its caller was told.
+    pub told_after_end_s: f64,
+    /// From an exchange's release until the caller was told.
+    pub told_after_release_s: f64,
+    /// From when a drain or an end counts as told until a set-up still went there.
+    pub set_up_after_drain_s: f64,
+    /// From a caller's deadline until its final answer.
+    pub answer_after_deadline_s: f64,
+}
+
+impl Worst {
+    /// Takes in what another run came to.
+    pub fn add(&mut self, other: &Worst) {
+        raise(&mut self.told_after_end_s, other.told_after_end_s);
+        raise(&mut self.told_after_release_s, other.told_after_release_s);
+        raise(&mut self.set_up_after_drain_s, other.set_up_after_drain_s);
+        raise(&mut self.answer_after_deadline_s, other.answer_after_deadline_s);
+    }
+}
+
+fn raise(worst: &mut f64, seconds: f64) {
+    *worst = worst.max(seconds);
+}
+
+fn seconds(span: Nanos) -> f64 {
+    (span / MS) as f64 / 1_000.0
 }
 
 impl Rule {
+    /// Its name in reports.
+    pub fn name(self) -> String {
+        serde_json::to_value(self).ok().and_then(|v| v.as_str().map(String::from)).unwrap_or_default()
+    }
+
     /// All of them.
-    pub const ALL: [Rule; 12] = [
+    pub const ALL: [Rule; 16] = [
         Rule::OneFinalAnswer,
         Rule::AnswerInTime,
         Rule::OneAttemptOut,
@@ -77,6 +123,10 @@
         Rule::ReleasePassed,
         Rule::Unchanged,
         Rule::Readable,
+        Rule::RunsOn,
+        Rule::ReadyInTime,
+        Rule::WithinLimits,
+        Rule::BadCallerTold,
     ];
 }
 
@@ -84,8 +134,18 @@
 #[allow(missing_docs)]
 #[derive(Clone, Copy, Debug)]
 pub enum Seen<'a> {
-    /// A controller runs no more.
-    Killed { controller: usize },
+    /// A controller was killed, after it was told to end where that is said.
+    Killed { controller: usize, terminated: Option<Nanos> },
+    /// A controller that was told to end has ended.
+    Exited { controller: usize },
+    /// A controller has ended of its own accord.
+    Crashed { controller: usize, how: &'a str },
+    /// A controller was not ready in time.
+    NotReady { controller: usize },
+    /// A controller takes more of the machine than it may.
+    OverLimit { controller: usize, memory_mb: u64, descriptors: u64 },
+    /// A bad caller was neither told anything nor closed in time.
+    BadCallerIgnored { controller: usize },
     /// A caller's set-up, or one in transit that came of another call.
     CallerSetUp {
         controller: usize,
@@ -201,6 +261,7 @@
     class: String,
     number: String,
     description: Vec<u8>,
+    sent: Nanos,
     deadline: Nanos,
     destination: usize,
     transit: bool,
@@ -216,6 +277,9 @@
     answers: Vec<Vec<u8>>,
     /// The caller must be told that it is over by then.
     release_by: Option<Nanos>,
+    /// When it was over, and when its exchange first said so.
+    over_at: Option<Nanos>,
+    released_at: Option<Nanos>,
     /// The controller that had it is no more: its successor knows only what it is told.
     orphaned: bool,
     ended: bool,
@@ -239,6 +303,7 @@
     breaches: Vec<Breach>,
     traced: BTreeSet<u64>,
     trace: Vec<String>,
+    worst: Worst,
 }
 
 impl Auditor {
@@ -256,6 +321,7 @@
             breaches: Vec::new(),
             traced: BTreeSet::new(),
             trace: Vec::new(),
+            worst: Worst::default(),
         }
     }
 
@@ -274,6 +340,11 @@
         Rule::ALL.iter().map(|r| (*r, self.counts.get(r).copied().unwrap_or(0))).collect()
     }
 
+    /// What came closest to a limit.
+    pub fn worst(&self) -> Worst {
+        self.worst
+    }
+
     /// The first breaches, in full.
     pub fn breaches(&self) -> &[Breach] {
         &self.breaches
@@ -386,17 +457,21 @@
 
     fn told(&mut self, now: Nanos, seen: Seen<'_>) {
         match seen {
-            Seen::Killed { controller } => {
-                // What it had taken is lost with it, and what was said to it did not arrive.
-                for ((c, _), record) in &mut self.records {
-                    if *c == controller {
-                        record.given_up |= !record.answered;
-                        record.orphaned = true;
-                        record.release_by = None;
-                    }
-                }
-                self.closed.retain(|(c, _), _| *c != controller);
-                self.told_start.retain(|(c, _)| *c != controller);
+            Seen::Killed { controller, terminated } => self.killed(now, controller, terminated),
+            Seen::Exited { controller } => self.orphan(controller),
+            Seen::Crashed { controller, how } => {
+                self.breach(now, Rule::RunsOn, (controller, None), format!("ended by itself: {how}"));
+            }
+            Seen::NotReady { controller } => {
+                self.breach(now, Rule::ReadyInTime, (controller, None), "not ready in time".into());
+            }
+            Seen::OverLimit { controller, memory_mb, descriptors } => {
+                let what = format!("takes {memory_mb} MB and {descriptors} descriptors");
+                self.breach(now, Rule::WithinLimits, (controller, None), what);
+            }
+            Seen::BadCallerIgnored { controller } => {
+                let what = "a bad caller was neither told anything nor closed".into();
+                self.breach(now, Rule::BadCallerTold, (controller, None), what);
             }
             Seen::Held { controller, machine, state } if state != "SERVING" => {
                 let at = self.closed.entry((controller, machine)).or_insert(now + TOLD_AT_LATEST);
@@ -416,6 +491,37 @@
         }
     }
 
+    /// A controller was killed: what it had taken is lost with it, and what was said to it did not arrive. After
+    /// SIGTERM, what came late and is unanswered should have been answered.
+    fn killed(&mut self, now: Nanos, controller: usize, terminated: Option<Nanos>) {
+        let late = |r: &Record| terminated.is_some_and(|at| r.sent > at + TAKEN_LATE);
+        let open = self.records.iter().filter(|((c, _), r)| *c == controller && !r.answered && !r.given_up);
+        let mut lost: Vec<u64> = open.filter(|(_, r)| late(r)).map(|((_, id), _)| *id).collect();
+        lost.sort_unstable();
+        for id in lost {
+            let what = "taken late after SIGTERM, and not answered before SIGKILL".into();
+            self.breach(now, Rule::OneFinalAnswer, (controller, Some(id)), what);
+        }
+        for ((c, _), record) in &mut self.records {
+            if *c == controller {
+                record.given_up |= !record.answered;
+            }
+        }
+        self.orphan(controller);
+    }
+
+    /// A controller runs no more: its successor knows nothing of its calls, nor of what it was told.
+    fn orphan(&mut self, controller: usize) {
+        for ((c, _), record) in &mut self.records {
+            if *c == controller {
+                record.orphaned = true;
+                record.release_by = None;
+            }
+        }
+        self.closed.retain(|(c, _), _| *c != controller);
+        self.told_start.retain(|(c, _)| *c != controller);
+    }
+
     fn call(&mut self, now: Nanos, key: (usize, u64), seen: Seen<'_>) {
         let place = (key.0, Some(key.1));
         match seen {
@@ -425,6 +531,7 @@
                     class: class.into(),
                     number: number.into(),
                     description: description.into(),
+                    sent: now,
                     deadline,
                     destination,
                     transit: transit.is_some(),
@@ -469,11 +576,21 @@
                 } else if !record.answers.iter().any(|a| a == description) {
                     broken = Some((Rule::Unchanged, "the answer is not one that an exchange gave"));
                 }
+                if !record.answered && !record.given_up && now > record.deadline {
+                    raise(&mut self.worst.answer_after_deadline_s, seconds(now - record.deadline));
+                }
                 record.stands |= !record.answered && !record.given_up;
                 record.answered = true;
             }
             // A successor passes on what it never saw; that its predecessor had failed the call it cannot know.
             Seen::CallerReleased { .. } if record.stands || record.orphaned => {
+                if !record.ended && !record.orphaned {
+                    if let Some(at) = record.released_at {
+                        raise(&mut self.worst.told_after_release_s, seconds(now - at));
+                    } else if let Some(at) = record.over_at {
+                        raise(&mut self.worst.told_after_end_s, seconds(now - at));
+                    }
+                }
                 (record.ended, record.release_by) = (true, None);
             }
             Seen::CallerReleased { .. } => {
@@ -497,6 +614,8 @@
             }
             Seen::Released { .. } | Seen::Over { .. } => {
                 let said = matches!(seen, Seen::Released { .. });
+                let first = if said { &mut record.released_at } else { &mut record.over_at };
+                first.get_or_insert(now);
                 let by = now + if said { RELEASED_AFTER_BYE } else { RELEASED_AFTER_END };
                 if record.stands && !record.ended && (said || !record.orphaned) {
                     let by = record.release_by.map_or(by, |known| known.min(by));
@@ -543,6 +662,9 @@
         if node == key.0 || record.transit && node != record.destination {
             broken.push((Rule::Transit, "sent where it may not go"));
         }
+        if let Some(at) = closed.filter(|at| now > *at) {
+            raise(&mut self.worst.set_up_after_drain_s, seconds(now - at));
+        }
         if closed.is_some_and(|at| now > at + DRAIN_GRACE) {
             broken.push((Rule::DrainKept, "sent to a node told to drain or to be gone"));
         }
--- a/rehearsal/src/lib.rs
+++ b/rehearsal/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod plots;
 pub mod report;
 pub mod script;
+pub mod soak;
 pub mod virtual_clock;
 pub mod wall_clock;
 pub mod world;
--- a/rehearsal/src/report.rs
+++ b/rehearsal/src/report.rs
@@ -6,6 +6,7 @@
 use pitchgw::interface::Nanos;
 use serde::{Deserialize, Serialize};
 
+use crate::audit::Worst;
 use crate::script::Script;
 
 /// What became of a caller's call, over all its tries.
@@ -224,6 +225,9 @@
     pub rules_broken: BTreeMap<String, u64>,
     /// The first breaches, in full.
     pub breaches: Vec<serde_json::Value>,
+    /// What came closest to a limit.
+    #[serde(default)]
+    pub worst: Worst,
     /// The first calls that were lost.
     pub lost: Vec<Lost>,
     /// Per second.
@@ -301,10 +305,7 @@
             share(earned, of.iter().map(|w| w.offered).sum())
         };
         let tens = books.windows.windows(10.min(books.windows.len())).map(sum);
-        let rules = audit.counts().into_iter().map(|(rule, n)| {
-            let name = serde_json::to_value(rule).ok().and_then(|v| v.as_str().map(String::from));
-            (name.unwrap_or_default(), n)
-        });
+        let rules = audit.counts().into_iter().map(|(rule, n)| (rule.name(), n));
         let breaches = audit.breaches().iter().filter_map(|b| serde_json::to_value(b).ok());
         Run {
             seed,
@@ -318,6 +319,7 @@
             },
             rules_broken: rules.collect(),
             breaches: breaches.collect(),
+            worst: audit.worst(),
             lost: books.lost.clone(),
             windows: books.windows.clone(),
             nodes: books.nodes.clone(),
--- a/rehearsal/src/script.rs
+++ b/rehearsal/src/script.rs
@@ -259,6 +259,14 @@
     Demand,
     /// Callers heed no advice on when to come back.
     IgnoreAdvice,
+    /// The node's controller reads its configuration again (SIGHUP).
+    ControllerReloaded,
+    /// The network to the node is cut: what passes on open connections waits, new ones never come up, calls stand on.
+    CutOff,
+    /// New connections to the node never come up; open ones work.
+    NoNewConnections,
+    /// Callers that keep to no protocol connect to the node's controller, one in every `every` seconds.
+    BadCallers,
 }
 
 impl Kind {
@@ -281,6 +289,10 @@
             Kind::ControllerRestarted => "controller-restarted",
             Kind::Demand => "demand",
             Kind::IgnoreAdvice => "ignore-advice",
+            Kind::ControllerReloaded => "controller-reloaded",
+            Kind::CutOff => "cut-off",
+            Kind::NoNewConnections => "no-new-connections",
+            Kind::BadCallers => "bad-callers",
         }
     }
 
@@ -290,15 +302,20 @@
             Kind::RestartCold => (&[], &["down", "stagger"]),
             Kind::Replace => (&[], &["drain", "down", "same_address", "stagger"]),
             Kind::Drain => (&["for"], &["drain"]),
-            Kind::Hang | Kind::Vanish | Kind::JournalBroken | Kind::JournalSilent | Kind::IgnoreAdvice => {
-                (&["for"], &[])
-            }
+            Kind::Hang
+            | Kind::Vanish
+            | Kind::JournalBroken
+            | Kind::JournalSilent
+            | Kind::IgnoreAdvice
+            | Kind::CutOff
+            | Kind::NoNewConnections => (&["for"], &[]),
+            Kind::BadCallers => (&["for", "every"], &[]),
             Kind::Pauses => (&["for", "every", "length"], &[]),
             Kind::Slow => (&["for", "factor"], &[]),
             Kind::LoseCircuits => (&["for", "kept"], &[]),
             Kind::SilentConnections | Kind::ResetConnections => (&[], &[]),
             Kind::ControllerKilled => (&[], &["down", "stagger"]),
-            Kind::ControllerRestarted => (&[], &["stagger"]),
+            Kind::ControllerRestarted | Kind::ControllerReloaded => (&[], &["stagger"]),
             Kind::Demand => (&["for", "times"], &[]),
         }
     }
@@ -376,6 +393,9 @@
     pub seconds: Factor,
     /// Seconds of the short form (`--short`), in which the same timeline is cut off.
     pub short_seconds: Option<Factor>,
+    /// Seconds after the last call was offered in which what is open and stands comes to its end.
+    #[serde(default = "run_out")]
+    pub run_out: Seconds,
     /// Results nodes, each with its controller: `n0`, `n1` and so on, by turns in the regions.
     #[serde(default = "six")]
     pub nodes: u32,
@@ -421,6 +441,9 @@
     pub events: Vec<Event>,
 }
 
+fn run_out() -> Seconds {
+    Seconds(20.0)
+}
 fn six() -> u32 {
     6
 }
--- a/rehearsal/src/virtual_clock.rs
+++ b/rehearsal/src/virtual_clock.rs
@@ -10,7 +10,7 @@
 use measured::record::Interval;
 use pitchgw::interface::Nanos;
 
-use crate::world::{Act, Party, Reach, WireId, World, MS};
+use crate::world::{Act, Party, Reach, Signal, WireId, World, MS};
 
 /// The Unix time at which every rehearsal begins.
 pub const BEGINS: Nanos = 1_800_000_000_000 * MS;
@@ -112,7 +112,7 @@
 /// The made-up address of a party as a controller reaches it.
 pub fn address(controller: usize, party: Party) -> SocketAddr {
     let port = match party {
-        Party::Callers => PORTS[0],
+        Party::Callers | Party::BadCaller => PORTS[0],
         Party::Journal => PORTS[1],
         Party::Machine(m) => PORTS[2] + m as u16,
     };
@@ -234,13 +234,16 @@
                     *h = Host { controller: Some(controller), generation, ..Host::default() };
                     self.plan(host, self.now);
                 }
-                Act::End(host) => {
+                Act::Signal(host, Signal::Terminate | Signal::Interrupt) => {
                     if let Some(controller) = &mut self.hosts[host].controller {
                         controller.begin(self.now);
                         controller.end();
                     }
                     self.plan(host, self.now);
                 }
+                // Here a configuration is read at the start only.
+                Act::Signal(_, Signal::Reload) => {}
+                Act::Finish(wire, controller) => self.inbound(controller, Inbound::Ended(wire)),
                 Act::Kill(host) => self.remove(host),
             }
         }
--- a/rehearsal/src/wall_clock.rs
+++ b/rehearsal/src/wall_clock.rs
@@ -4,25 +4,35 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use dillhold::directory::SLACK;
 use mio::{Events, Interest, Poll, Token};
 use pitchgw::interface::Nanos;
+use rustix::net::{AddressFamily, SocketType};
 
 use crate::report::Run;
 use crate::script::Script;
-use crate::world::{nanos, Act, Party, Reach, WireId, World, MS, SEC};
+use crate::world::{nanos, Act, Party, Reach, Signal, WireId, World, MS, SEC};
 
 /// From the start of the processes to the first call.
 const HEAD_START: Nanos = 2 * SEC;
 /// Nodes that this is offered for: each pair takes a listener and a connection.
 const MOST_NODES: u32 = 30;
+/// A program that ends again and again is not started any more.
+const MOST_CRASHES: u32 = 20;
+/// What processes take of the machine is read so often.
+const READ_USAGE: Nanos = SEC / 2;
 /// The driver looks after processes and listeners at least so often.
 const LOOK: Duration = Duration::from_millis(5);
+/// What controllers log where their logs are kept.
+const LOGGED: &str = "dillhold=debug";
 /// Tokens of wires come after those of listeners.
 const FIRST_WIRE: usize = 1 << 20;
 /// A rehearsal that ran later than this, in more than one of a hundred steps, is not to be relied on.
@@ -33,37 +43,62 @@
 }
 
 /// The parties' listeners, each for one controller. The address of a party is kept when nothing listens there.
-#[derive(Default)]
 struct Doors {
+    /// The loopback address of this rehearsal: several at once do not meet on one port.
+    host: Ipv4Addr,
     addresses: BTreeMap<(usize, Party), SocketAddr>,
     fresh: Vec<(usize, Party, TcpListener)>,
+    reserved: Vec<OwnedFd>,
     failed: Option<String>,
 }
 
 impl Doors {
+    fn new() -> Doors {
+        static REHEARSALS: AtomicU32 = AtomicU32::new(0);
+        let number = REHEARSALS.fetch_add(1, Ordering::Relaxed);
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let host = Ipv4Addr::new(127, 64 + (number % 128) as u8, high, low.max(1));
+        Doors { host, addresses: BTreeMap::new(), fresh: Vec::new(), reserved: Vec::new(), failed: None }
+    }
+
     fn address(&mut self, controller: usize, party: Party) -> SocketAddr {
         if let Some(address) = self.addresses.get(&(controller, party)) {
             return *address;
         }
-        let made = TcpListener::bind("127.0.0.1:0").and_then(|l| Ok((l.local_addr()?, l)));
-        let address = match made {
-            Ok((address, listener)) => {
-                // The controller itself listens where callers connect.
-                if party != Party::Callers {
-                    self.fresh.push((controller, party, listener));
-                }
-                address
-            }
-            Err(e) => {
-                self.failed = Some(format!("a port on loopback: {e}"));
-                SocketAddr::from(([127, 0, 0, 1], 9))
-            }
+        // The controller itself listens where callers connect.
+        let made = match party {
+            Party::Callers | Party::BadCaller => self.reserve(),
+            Party::Machine(_) | Party::Journal => self.listen(controller, party),
         };
+        let address = made.unwrap_or_else(|e| {
+            self.failed = Some(format!("a port on loopback: {e}"));
+            SocketAddr::from(([127, 0, 0, 1], 9))
+        });
         self.addresses.insert((controller, party), address);
         address
     }
 }
 
+impl Doors {
+    fn listen(&mut self, controller: usize, party: Party) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((self.host, 0))?;
+        let address = listener.local_addr()?;
+        self.fresh.push((controller, party, listener));
+        Ok(address)
+    }
+
+    /// Keeps a port for a controller, which may listen there while this socket does not: without, another listener
+    /// could be given it before the controller starts.
+    fn reserve(&mut self) -> io::Result<SocketAddr> {
+        let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
+        rustix::net::sockopt::set_socket_reuseaddr(&socket, true)?;
+        rustix::net::bind(&socket, &SocketAddr::from((self.host, 0)))?;
+        let address = rustix::net::getsockname(&socket)?;
+        self.reserved.push(socket);
+        address.try_into().map_err(|_| io::Error::other("no address of the internet"))
+    }
+}
+
 struct Door {
     controller: usize,
     party: Party,
@@ -96,6 +131,14 @@
     stream: mio::net::TcpStream,
     up: bool,
     out: Vec<u8>,
+    /// Its writing side is to be closed once all is written.
+    finishes: bool,
+}
+
+impl Sock {
+    fn new(stream: mio::net::TcpStream, up: bool) -> Sock {
+        Sock { stream, up, out: Vec::new(), finishes: false }
+    }
 }
 
 /// The controllers' processes; all are killed when this goes.
@@ -120,19 +163,67 @@
     dead: Vec<mio::net::TcpStream>,
     processes: Processes,
     ending: Vec<bool>,
+    crashes: u32,
+    /// When the processes' use of the machine is read next.
+    usage_due: Nanos,
     program: &'a Path,
+    logs: Option<PathBuf>,
     folder: tempfile::TempDir,
     begun: (Instant, Nanos),
 }
 
+/// How a script is played.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Its short form.
+    pub short: bool,
+    /// A call of which everything is written down.
+    pub trace: Option<u64>,
+    /// The controllers' structured logs go into this folder.
+    pub logs: Option<PathBuf>,
+}
+
+/// How far the driver was behind its own clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lateness {
+    /// Steps of the driver, and how many of them came late.
+    pub steps: u64,
+    /// See [`Lateness::steps`].
+    pub late: u64,
+    /// The longest that a step came late.
+    pub longest: Nanos,
+}
+
+impl Lateness {
+    fn step(&mut self, late_by: Nanos) {
+        self.steps += 1;
+        self.late += u64::from(late_by > LATE);
+        self.longest = self.longest.max(late_by);
+    }
+
+    /// Whether what the machine did to the driver may have broken a rule: the slack of the rules was used up.
+    pub fn too_late(&self) -> bool {
+        self.longest > SLACK || self.late * 100 > self.steps
+    }
+}
+
+/// A script that was played.
+pub struct Played {
+    /// What it came to.
+    pub run: Run,
+    /// What was written down of the call that was asked for.
+    pub traced: Vec<String>,
+    /// How far behind the driver was.
+    pub lateness: Lateness,
+}
+
 /// Plays a script once against real processes of `program`.
 pub fn rehearse_once(
     script: &Script,
     seed: u64,
-    short: bool,
-    trace: Option<u64>,
     program: &Path,
-) -> Result<(Run, Vec<String>), String> {
+    options: &Options,
+) -> Result<Played, String> {
     if script.nodes > MOST_NODES {
         return Err(format!("{} nodes: --clock wall plays up to {MOST_NODES}", script.nodes));
     }
@@ -140,15 +231,18 @@
         let hint = "build it with `cargo build --release`, or name it with --program";
         return Err(format!("{}: no such program; {hint}", program.display()));
     }
-    let doors = Rc::new(RefCell::new(Doors::default()));
+    if let Some(folder) = &options.logs {
+        std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    }
+    let doors = Rc::new(RefCell::new(Doors::new()));
     let addresses = {
         let doors = doors.clone();
         Box::new(move |controller, party| doors.borrow_mut().address(controller, party))
     };
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(text("the time"))?.as_nanos() as Nanos;
-    let offers = nanos(crate::seconds(script, short));
+    let offers = nanos(crate::seconds(script, options.short));
     let mut world = World::new(script.clone(), seed, unix + HEAD_START, offers, addresses);
-    trace.into_iter().for_each(|call| world.audit.trace(call));
+    options.trace.into_iter().for_each(|call| world.audit.trace(call));
     let nodes = world.controllers();
     let mut driver = Driver {
         poll: Poll::new().map_err(text("epoll"))?,
@@ -159,17 +253,18 @@
         dead: Vec::new(),
         processes: Processes((0..nodes).map(|_| None).collect()),
         ending: vec![false; nodes],
+        crashes: 0,
+        usage_due: 0,
         program,
+        logs: options.logs.clone(),
         folder: tempfile::tempdir().map_err(text("a folder"))?,
         begun: (Instant::now(), unix),
     };
-    let (steps, late) = driver.play()?;
-    if late * 100 > steps {
-        eprintln!("dillholdctl: this machine was too busy: {late} of {steps} steps came late");
-    }
+    let lateness = driver.play()?;
     let world = &mut driver.world;
     world.close_books();
-    Ok((Run::new(script, seed, &world.books, &world.audit, world.digest()), world.audit.traced().to_vec()))
+    let run = Run::new(script, seed, &world.books, &world.audit, world.digest());
+    Ok(Played { run, traced: world.audit.traced().to_vec(), lateness })
 }
 
 impl Driver<'_> {
@@ -177,9 +272,9 @@
         self.begun.1 + self.begun.0.elapsed().as_nanos() as Nanos
     }
 
-    /// Plays to the end; tells how many steps there were, and how many of them came late.
-    fn play(&mut self) -> Result<(u64, u64), String> {
-        let (mut steps, mut late) = (0, 0);
+    /// Plays to the end; tells how far behind it was.
+    fn play(&mut self) -> Result<Lateness, String> {
+        let mut lateness = Lateness::default();
         let mut events = Events::with_capacity(1024);
         self.acts()?;
         while self.now() < self.world.until() {
@@ -190,8 +285,7 @@
                 _ => {}
             }
             let now = self.now();
-            steps += 1;
-            late += u64::from(now > due.saturating_add(LATE));
+            lateness.step(now.saturating_sub(due));
             for event in &events {
                 let token = event.token().0;
                 if token < FIRST_WIRE {
@@ -203,8 +297,12 @@
             self.world.advance(now);
             self.acts()?;
             self.look_after()?;
+            if now >= self.usage_due {
+                self.usage_due = now + READ_USAGE;
+                self.read_usage();
+            }
         }
-        Ok((steps, late))
+        Ok(lateness)
     }
 
     fn register(&mut self, stream: &mut mio::net::TcpStream, wire: WireId) -> Result<(), String> {
@@ -225,7 +323,7 @@
                     let now = self.now();
                     let wire = self.world.accepted(now, controller, party);
                     if self.register(&mut stream, wire).is_ok() {
-                        self.socks.insert(wire, Sock { stream, up: true, out: Vec::new() });
+                        self.socks.insert(wire, Sock::new(stream, true));
                     } else {
                         self.world.closed(now, wire);
                     }
@@ -279,9 +377,24 @@
                 Err(_) => return false,
             }
         }
+        if std::mem::take(&mut sock.finishes) {
+            let _ = sock.stream.shutdown(std::net::Shutdown::Write);
+        }
         true
     }
 
+    fn signal(&mut self, controller: usize, signal: Signal) -> Result<(), String> {
+        let Some(child) = &self.processes.0[controller] else { return Ok(()) };
+        let number = match signal {
+            Signal::Terminate => rustix::process::Signal::TERM,
+            Signal::Interrupt => rustix::process::Signal::INT,
+            Signal::Reload => rustix::process::Signal::HUP,
+        };
+        self.ending[controller] |= signal != Signal::Reload;
+        let sent = rustix::process::kill_process(rustix::process::Pid::from_child(child), number);
+        sent.map_err(text("a signal"))
+    }
+
     fn acts(&mut self) -> Result<(), String> {
         while let Some(act) = self.world.poll() {
             match act {
@@ -292,7 +405,7 @@
                         Ok(mut stream) => {
                             let _ = stream.set_nodelay(true);
                             self.register(&mut stream, wire)?;
-                            self.socks.insert(wire, Sock { stream, up: false, out: Vec::new() });
+                            self.socks.insert(wire, Sock::new(stream, false));
                         }
                         Err(_) => self.world.closed(now, wire),
                     }
@@ -311,15 +424,15 @@
                     self.socks.remove(&wire);
                 }
                 Act::Start(controller, config) => self.start(controller, &config)?,
-                Act::End(controller) => {
-                    if let Some(child) = &self.processes.0[controller] {
-                        let pid = rustix::process::Pid::from_child(child);
-                        let sent = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
-                        sent.map_err(text("a signal"))?;
-                        self.ending[controller] = true;
+                Act::Signal(controller, signal) => self.signal(controller, signal)?,
+                Act::Finish(wire, _) => {
+                    if let Some(sock) = self.socks.get_mut(&wire) {
+                        sock.finishes = true;
                     }
+                    self.flush(wire);
                 }
                 Act::Kill(controller) => {
+                    self.ending[controller] = false;
                     if let Some(mut child) = self.processes.0[controller].take() {
                         child.kill().and_then(|()| child.wait()).map_err(text("a kill"))?;
                     }
@@ -329,12 +442,34 @@
         Ok(())
     }
 
+    /// Reads what the processes take of the machine.
+    fn read_usage(&mut self) {
+        for controller in 0..self.processes.0.len() {
+            let Some(child) = &self.processes.0[controller] else { continue };
+            let folder = PathBuf::from(format!("/proc/{}", child.id()));
+            let resident = std::fs::read_to_string(folder.join("statm")).ok().and_then(|text| {
+                let pages: u64 = text.split_whitespace().nth(1)?.parse().ok()?;
+                Some(pages * rustix::param::page_size() as u64 / (1024 * 1024))
+            });
+            let descriptors = std::fs::read_dir(folder.join("fd")).map(|entries| entries.count() as u64);
+            if let (Some(memory_mb), Ok(descriptors)) = (resident, descriptors) {
+                self.world.uses(self.now(), controller, memory_mb, descriptors);
+            }
+        }
+    }
+
     fn start(&mut self, controller: usize, config: &str) -> Result<(), String> {
         let path: PathBuf = self.folder.path().join(format!("n{controller}.json"));
         std::fs::write(&path, config).map_err(text("a configuration"))?;
         let mut command = Command::new(self.program);
         command.env("EDGE_CONFIG", &path).stdin(Stdio::null()).stdout(Stdio::null());
-        if std::env::var_os("DILLHOLD_LOG").is_none() {
+        if let Some(logs) = &self.logs {
+            let log = std::fs::File::options()
+                .create(true)
+                .append(true)
+                .open(logs.join(format!("n{controller}.log")));
+            command.env("DILLHOLD_LOG", LOGGED).stderr(log.map_err(text("a log"))?);
+        } else if std::env::var_os("DILLHOLD_LOG").is_none() {
             command.stderr(Stdio::null());
         }
         let child = command.spawn().map_err(|e| format!("{}: {e}", self.program.display()))?;
@@ -349,10 +484,15 @@
             let Some(child) = &mut self.processes.0[controller] else { continue };
             let Some(status) = child.try_wait().map_err(text("a process"))? else { continue };
             self.processes.0[controller] = None;
-            if !std::mem::take(&mut self.ending[controller]) {
-                return Err(format!("controller n{controller} ended by itself: {status}"));
+            if std::mem::take(&mut self.ending[controller]) && status.success() {
+                self.world.stopped(now, controller);
+            } else {
+                self.crashes += 1;
+                if self.crashes > MOST_CRASHES {
+                    return Err(format!("controller n{controller} ended by itself: {status}"));
+                }
+                self.world.crashed(now, controller, &status.to_string());
             }
-            self.world.stopped(now, controller);
             self.acts()?;
         }
         let (fresh, failed) = {
--- a/rehearsal/src/world/callers.rs
+++ b/rehearsal/src/world/callers.rs
@@ -163,7 +163,7 @@
         i.id = self.rng.random::<u64>().max(1);
         let (id, origin, tries) = (i.id, i.origin, i.tries);
         let (number, destination, class_no, again) = (i.number, i.destination, i.class, i.cut_before);
-        if !self.fronted[origin] {
+        if !self.takes_callers(origin) {
             return self.try_ended(intent, Outcome::Failed, None);
         }
         self.job(origin, self.script.processor.look.0, What::Other);
@@ -236,7 +236,25 @@
         }
     }
 
+    /// Whether a caller has a way to a controller: one that ends is sent no new connections, but open ones are used.
+    pub(super) fn takes_callers(&self, controller: usize) -> bool {
+        self.fronted[controller] || self.running[controller] && self.open_wire(controller).is_some()
+    }
+
+    fn open_wire(&self, controller: usize) -> Option<WireId> {
+        let mut open = self.callers.pool[controller].iter().flatten().copied();
+        open.find(|wire| self.wires.get(wire).is_some_and(|w| w.up))
+    }
+
+    /// Whether somebody wanted to connect to a controller and could not.
+    pub(super) fn callers_waited(&self, controller: usize) -> bool {
+        self.wires.values().any(|w| w.controller == controller && w.party == Party::Callers && !w.up)
+    }
+
     fn caller_wire(&mut self, controller: usize, id: u64) -> WireId {
+        if let Some(open) = self.open_wire(controller).filter(|_| !self.fronted[controller]) {
+            return open;
+        }
         let slot = id as usize % self.callers.pool[controller].len();
         if let Some(wire) = self.callers.pool[controller][slot].filter(|w| self.wires.contains_key(w)) {
             return wire;
@@ -423,7 +441,7 @@
     }
 
     /// A connection of callers is gone: what was open on it has no answer.
-    pub(super) fn callers_wire_gone(&mut self, controller: usize, wire: WireId) {
+    pub(super) fn callers_wire_gone(&mut self, controller: usize, wire: WireId, up: bool) {
         self.later(RECONNECT, Due::Reconnect(controller));
         let on = |s: &Side| s.wire == wire && !s.stands;
         let within = (controller, 0)..=(controller, u64::MAX);
@@ -431,7 +449,8 @@
             self.callers.sides.range(within).filter(|(_, s)| on(s)).map(|((_, id), _)| *id).collect();
         for id in open {
             let Some(mut side) = self.callers.sides.remove(&(controller, id)) else { continue };
-            if !side.resent && self.now < side.sent + CROSSED && self.running[controller] {
+            let crossed = !side.resent && self.now < side.sent + CROSSED;
+            if crossed && self.running[controller] && self.fronted[controller] {
                 side.resent = true;
                 let (message, wire) = (side.message.clone(), self.caller_wire(controller, id));
                 side.wire = wire;
@@ -439,7 +458,13 @@
                 self.send(wire, &message);
                 continue;
             }
-            self.audit.saw(self.now, Seen::CallerLost { controller, id });
+            // What crossed the close goes to another controller, and what never came up was never taken.
+            let ends = self.terminated[controller].is_some() || !self.running[controller];
+            if ends && (crossed || !up) {
+                self.audit.saw(self.now, Seen::CallerGaveUp { controller, id });
+            } else {
+                self.audit.saw(self.now, Seen::CallerLost { controller, id });
+            }
             match side.owner {
                 Owner::Transit(leg) => self.child_broke(leg),
                 Owner::Caller(intent) => self.try_ended(intent, Outcome::Failed, None),
--- a/rehearsal/src/world/incidents.rs
+++ b/rehearsal/src/world/incidents.rs
@@ -8,11 +8,12 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::nodes::Machine;
-use super::{nanos, Act, Due, Reach, World, MS};
+use super::{nanos, Act, Due, Reach, Signal, World, MS};
 use crate::script::{Event, Kind, Script, DOWN, DRAIN};
 
-/// After a controller was told to end callers are sent to it for so long.
-const FRONT_NOTICES: Nanos = 400 * MS;
+/// Further signals come so long after SIGTERM, by turns SIGTERM, SIGINT and SIGHUP.
+const MORE_SIGNALS: [(Nanos, Signal); 3] =
+    [(100 * MS, Signal::Terminate), (650 * MS, Signal::Reload), (900 * MS, Signal::Interrupt)];
 
 /// A moment in the course of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -147,20 +148,39 @@
                 self.journal_back(node);
             }
             (Kind::ControllerKilled, Phase::Begin) => {
-                if std::mem::take(&mut self.running[node]) {
-                    self.fronted[node] = false;
-                    self.acts.push_back(Act::Kill(node));
-                    self.controller_gone(node);
+                if self.running[node] {
+                    self.kill(node);
                     self.later(span(event.down, DOWN), Due::Event(number, node, Phase::Start));
                 }
             }
+            (Kind::ControllerKilled, _) if self.running[node] => {}
             (Kind::ControllerKilled, _) => self.start_controller(node),
-            (Kind::ControllerRestarted, _) => {
-                if self.running[node] && self.fronted[node] {
-                    self.acts.push_back(Act::End(node));
-                    self.later(FRONT_NOTICES, Due::Front(node));
+            (Kind::ControllerRestarted, Phase::Begin) => {
+                self.terminate(node);
+                for (after, _) in MORE_SIGNALS {
+                    self.later(after, Due::Event(number, node, Phase::Move));
                 }
+                self.later(self.kill_after(), Due::Event(number, node, Phase::Stop));
             }
+            (Kind::ControllerRestarted, Phase::Move) => self.signal_again(node),
+            (Kind::ControllerRestarted, _) => self.kill_terminated(node),
+            (Kind::ControllerReloaded, _) => {
+                if self.running[node] {
+                    self.acts.push_back(Act::Signal(node, Signal::Reload));
+                }
+            }
+            (Kind::CutOff, Phase::Begin) => {
+                self.cut_off[node] += 1;
+                self.hold_wires(node);
+            }
+            (Kind::CutOff, _) => {
+                self.cut_off[node] -= 1;
+                self.release_wires(node);
+            }
+            (Kind::NoNewConnections, Phase::Begin) => self.unreachable[node] += 1,
+            (Kind::NoNewConnections, _) => self.unreachable[node] -= 1,
+            (Kind::BadCallers, Phase::Begin) => self.bad_caller(number, node),
+            (Kind::BadCallers, _) => {}
             (Kind::Demand, _) => {
                 let demand = &mut self.callers.demand[node];
                 match (phase, event.times) {
@@ -175,6 +195,36 @@
         }
     }
 
+    /// A controller that was told to end gets a further signal.
+    fn signal_again(&mut self, node: usize) {
+        let Some(at) = self.terminated[node].filter(|_| self.running[node]) else { return };
+        let latest = MORE_SIGNALS.iter().rev().find(|(after, _)| self.now >= at + after);
+        if let Some((_, signal)) = latest {
+            self.acts.push_back(Act::Signal(node, *signal));
+        }
+    }
+
+    /// The network to a node is cut: what passes on open connections waits for the end of the cut.
+    fn hold_wires(&mut self, node: usize) {
+        for wire in self.wires_to(node) {
+            if let Some(w) = self.wires.get_mut(&wire) {
+                w.held.get_or_insert_with(Default::default);
+            }
+        }
+    }
+
+    /// The cut is over: what waited passes.
+    fn release_wires(&mut self, node: usize) {
+        if self.cut_off[node] > 0 {
+            return;
+        }
+        for wire in self.wires_to(node) {
+            let Some(held) = self.wires.get_mut(&wire).and_then(|w| w.held.take()) else { continue };
+            self.received(self.now, wire, &held.from_controller);
+            self.send(wire, &held.to_controller);
+        }
+    }
+
     fn pauses(&mut self, number: usize, node: usize, phase: Phase, event: &Event) {
         let Some((every, length)) = event.every.zip(event.length) else { return };
         match phase {
--- a/rehearsal/src/world/mod.rs
+++ b/rehearsal/src/world/mod.rs
@@ -2,7 +2,9 @@
 //! and the centre. It knows no socket and no clock but the time it is given, so that the same world is played on
 //! a virtual clock and on the wall's: it is told what came on which wire and says what is to be done with wires.
 
+mod bad_callers;
 mod callers;
+mod controllers;
 mod incidents;
 mod journal;
 mod network;
@@ -18,7 +20,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::audit::{Auditor, Seen};
+use crate::audit::Auditor;
 use crate::report::Books;
 use crate::script::Script;
 use callers::{Callers, Intent};
@@ -30,8 +32,6 @@
 /// One second.
 pub const SEC: Nanos = 1_000_000_000;
 pub use dillhold::clock::MS;
-/// After the last arrival a rehearsal runs on for so long: all is answered, and rules still count.
-const RUN_OUT: Nanos = 20 * SEC;
 
 /// Callers whose calls stand connect again after so long when their connections are gone.
 const RECONNECT: Nanos = SEC / 5;
@@ -49,6 +49,8 @@
 pub enum Party {
     /// Callers of the controller's exchange, and calls in transit.
     Callers,
+    /// Somebody who connects where callers do and keeps to no protocol.
+    BadCaller,
     /// A results node's machine; its place in the list of all machines there ever were.
     Machine(usize),
     /// The journal service.
@@ -64,14 +66,27 @@
     Send(WireId, usize, Vec<u8>),
     /// A wire to that controller is closed.
     Close(WireId, usize),
+    /// The writing side of a wire to that controller is closed, once it is up.
+    Finish(WireId, usize),
     /// A controller is started with this configuration.
     Start(usize, String),
-    /// A controller is told to end: [`World::stopped`] tells when it has.
-    End(usize),
+    /// A controller gets a signal. Told to end, [`World::stopped`] tells when it has.
+    Signal(usize, Signal),
     /// A controller is killed.
     Kill(usize),
 }
 
+/// A signal to a controller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// SIGTERM: end.
+    Terminate,
+    /// SIGINT: the same.
+    Interrupt,
+    /// SIGHUP: read the configuration again.
+    Reload,
+}
+
 /// What becomes of a connection to a party of the world.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -92,11 +107,20 @@
     up: bool,
     /// Nothing passes any more, though it stays open.
     mute: bool,
+    /// The network is cut: what passed to the controller waits here for the cut to end, and what came from it.
+    held: Option<Held>,
     inbox: Inbox,
     /// What waits for it to come up.
     waiting: Vec<u8>,
 }
 
+/// What waits on a wire for a cut of the network to end.
+#[derive(Default)]
+struct Held {
+    to_controller: Vec<u8>,
+    from_controller: Vec<u8>,
+}
+
 /// What is due in the world.
 #[derive(Clone, Debug)]
 enum Due {
@@ -121,6 +145,11 @@
     Front(usize),
     /// Callers whose calls stand connect again.
     Reconnect(usize),
+    /// A controller that was started then must be ready by now.
+    Ready(usize, Nanos),
+    /// Another bad caller connects; one that did must have heard something, or must have been closed.
+    BadCaller(usize, usize),
+    EndBadCaller(WireId),
     Event(usize, usize, incidents::Phase),
 }
 
@@ -156,6 +185,16 @@
     running: Vec<bool>,
     /// Whether callers are sent to it.
     fronted: Vec<bool>,
+    /// When it was started, and whether a caller's connection has come up since.
+    started: Vec<(Nanos, bool)>,
+    /// When it was told to end.
+    terminated: Vec<Option<Nanos>>,
+    /// Events that cut a node off from the network.
+    cut_off: Vec<u32>,
+    /// Events in which new connections to a node do not come up.
+    unreachable: Vec<u32>,
+    /// Connections of bad callers, and whether they were told anything.
+    bad_callers: BTreeMap<WireId, bool>,
     struck: Vec<Vec<usize>>,
     /// Random numbers of what reacts; arrivals have streams of their own.
     rng: ChaCha8Rng,
@@ -186,7 +225,7 @@
             base,
             now: base,
             offers_until: base + offers,
-            until: base + offers + RUN_OUT,
+            until: base + offers + nanos(script.run_out.0),
             queue: BTreeMap::new(),
             next: 0,
             acts: VecDeque::new(),
@@ -207,6 +246,11 @@
             services: (0..nodes).map(|_| Service::default()).collect(),
             running: vec![false; nodes],
             fronted: vec![false; nodes],
+            started: vec![(base, false); nodes],
+            terminated: vec![None; nodes],
+            cut_off: vec![0; nodes],
+            unreachable: vec![0; nodes],
+            bad_callers: BTreeMap::new(),
             struck,
             rng: stream(3),
             hash: blake3::Hasher::new(),
@@ -324,6 +368,9 @@
             Due::Sample => self.sample(),
             Due::Front(controller) => self.fronted[controller] = false,
             Due::Reconnect(controller) => self.reconnect(controller),
+            Due::Ready(controller, started) => self.ready_due(controller, started),
+            Due::BadCaller(event, controller) => self.bad_caller(event, controller),
+            Due::EndBadCaller(wire) => self.bad_caller_due(wire),
             Due::Event(event, node, phase) => self.event(event, node, phase),
         }
     }
@@ -336,14 +383,22 @@
         let id = self.next_wire;
         self.next_wire += 1;
         let (inbox, waiting) = (Inbox::default(), Vec::new());
-        self.wires.insert(id, Wire { controller, party, up, mute: false, inbox, waiting });
+        self.wires.insert(id, Wire { controller, party, up, mute: false, held: None, inbox, waiting });
         id
     }
 
     /// Whether a controller's connection to a party comes up.
     pub fn reach(&self, controller: usize, party: Party) -> Reach {
         match party {
-            Party::Machine(m) => self.machines[self.bears(m)].reach,
+            Party::Machine(m) => {
+                let machine = &self.machines[self.bears(m)];
+                let cut = self.cut_off[machine.node] + self.unreachable[machine.node] > 0;
+                if cut {
+                    Reach::Never
+                } else {
+                    machine.reach
+                }
+            }
             Party::Journal if self.services[controller].broken > 0 => Reach::Refused,
             _ => Reach::Up,
         }
@@ -364,6 +419,7 @@
         self.advance(now);
         if let Some(w) = self.wires.get_mut(&wire) {
             w.up = true;
+            self.started[w.controller].1 = true;
             let waiting = std::mem::take(&mut w.waiting);
             if !waiting.is_empty() {
                 self.send(wire, &waiting);
@@ -380,7 +436,10 @@
     fn wire_gone(&mut self, wire: WireId) {
         let Some(gone) = self.wires.remove(&wire) else { return };
         match gone.party {
-            Party::Callers => self.callers_wire_gone(gone.controller, wire),
+            Party::Callers => self.callers_wire_gone(gone.controller, wire, gone.up),
+            Party::BadCaller => {
+                self.bad_callers.remove(&wire);
+            }
             Party::Machine(m) => self.machine_wire_gone(gone.controller, m, wire),
             Party::Journal => self.services[gone.controller].wire_gone(wire),
         }
@@ -388,7 +447,7 @@
 
     /// Whether what is said on a wire passes.
     fn passes(&self, wire: WireId) -> bool {
-        self.wires.get(&wire).is_some_and(|w| !w.mute)
+        self.wires.get(&wire).is_some_and(|w| !w.mute && w.held.is_none())
     }
 
     /// The world closes a wire of its own accord.
@@ -404,6 +463,9 @@
         if !w.up {
             return w.waiting.extend(bytes);
         }
+        if let Some(held) = &mut w.held {
+            return held.to_controller.extend(bytes);
+        }
         let controller = w.controller;
         passed(&mut self.hash, self.now, wire, 0, bytes);
         match self.acts.back_mut() {
@@ -416,12 +478,19 @@
     pub fn received(&mut self, now: Nanos, wire: WireId, bytes: &[u8]) {
         self.advance(now);
         let Some(w) = self.wires.get_mut(&wire).filter(|w| !w.mute) else { return };
+        if let Some(held) = &mut w.held {
+            return held.from_controller.extend(bytes);
+        }
         passed(&mut self.hash, self.now, wire, 1, bytes);
         w.inbox.put(bytes);
         let mut inbox = std::mem::take(&mut w.inbox);
         let (controller, party) = (w.controller, w.party);
         let readable = match party {
             Party::Callers => self.callers_hear(controller, &mut inbox),
+            Party::BadCaller => {
+                self.bad_callers.insert(wire, true);
+                true
+            }
             Party::Machine(m) => self.machine_hears(controller, m, wire, &mut inbox),
             Party::Journal => self.journal_asked(controller, wire, &mut inbox),
         };
@@ -434,33 +503,6 @@
         }
     }
 
-    // -----------------------------------------------------------------------------------------------------
-    // Controllers
-    // -----------------------------------------------------------------------------------------------------
-
-    fn start_controller(&mut self, controller: usize) {
-        (self.running[controller], self.fronted[controller]) = (true, true);
-        self.services[controller].restart();
-        let config = self.configuration(controller);
-        self.later(RECONNECT, Due::Reconnect(controller));
-        self.acts.push_back(Act::Start(controller, config));
-    }
-
-    /// A controller that was told to end has ended.
-    pub fn stopped(&mut self, now: Nanos, controller: usize) {
-        self.advance(now);
-        self.running[controller] = false;
-        self.controller_gone(controller);
-        self.start_controller(controller);
-    }
-
-    fn controller_gone(&mut self, controller: usize) {
-        self.audit.saw(self.now, Seen::Killed { controller });
-        let wires: Vec<_> = self.wires.iter().filter(|(_, w)| w.controller == controller).collect();
-        let wires: Vec<WireId> = wires.into_iter().map(|(id, _)| *id).collect();
-        wires.into_iter().for_each(|wire| self.wire_gone(wire));
-    }
-
     fn sample(&mut self) {
         for n in 0..self.nodes.len() {
             let (wait, cold) = (self.nodes[n].wait(), self.nodes[n].cold_state(self.now, &self.script));
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -337,7 +337,7 @@
     pub(super) fn hand_over(&mut self, leg: u64) {
         let l = &self.legs[&leg];
         let (node, until) = (l.to, l.until);
-        if !self.running[node] || self.now >= until {
+        if !self.running[node] || !self.takes_callers(node) || self.now >= until {
             return self.turn_back(leg);
         }
         let id = self.rng.random::<u64>().max(1);
