--- a/dillhold/src/engine/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -16,6 +16,9 @@
 /// A connection on which no call is open or stands is closed after so long. Callers close such connections
 /// after 4 s themselves; those that never do would take all descriptors in time.
 const IDLE: Nanos = 5_000 * MS;
+/// So many connections are kept however idle they are: on one of them the end of a call of before the start may have
+/// to be told, by a program that knows nothing of that call.
+const IDLE_KEPT: usize = 8;
 /// Time between two looks at a connection.
 const LOOK: Nanos = 500 * MS;
 /// A release waits so long for a connection that is known to have a caller at its other end. Towards the caller
@@ -80,7 +83,8 @@
         let since = |at: Nanos| self.now.saturating_sub(at);
         let half = !caller.inbox.rest().is_empty() && since(conn.read) >= HALF;
         let no_word = !caller.answered && !self.calls.open_on(token);
-        let idle = !self.calls.bears(token) && since(caller.heard.max(conn.opened)) >= IDLE;
+        let quiet = since(caller.heard.max(conn.opened)) >= IDLE;
+        let idle = quiet && !self.calls.bears(token) && self.callers.count > IDLE_KEPT;
         let reason = match (half, no_word, idle) {
             (true, _, _) => Some(CloseReason::CallerMessageIncomplete),
             (_, true, _) => Some(CloseReason::CallerUnanswered),
--- a/rehearsal/src/world/incidents.rs
+++ b/rehearsal/src/world/incidents.rs
@@ -179,6 +179,15 @@
             }
             (Kind::NoNewConnections, Phase::Begin) => self.unreachable[node] += 1,
             (Kind::NoNewConnections, _) => self.unreachable[node] -= 1,
+            (Kind::JournalSlow, Phase::Begin) => {
+                let takes = event.length.map_or(0.0, |length| length.0);
+                self.services[node].slow.insert(number, takes);
+            }
+            (Kind::JournalSlow, _) => {
+                self.services[node].slow.remove(&number);
+            }
+            (Kind::SpoiltAnswers, Phase::Begin) => self.spoils[node] += 1,
+            (Kind::SpoiltAnswers, _) => self.spoils[node] -= 1,
             (Kind::BadCallers, Phase::Begin) => self.bad_caller(number, node),
             (Kind::BadCallers, _) => {}
             (Kind::Demand, _) => {
@@ -223,6 +232,7 @@
             self.received(self.now, wire, &held.from_controller);
             self.send(wire, &held.to_controller);
         }
+        self.say_what_was_unsaid(self.serving[node]);
     }
 
     fn pauses(&mut self, number: usize, node: usize, phase: Phase, event: &Event) {
--- a/rehearsal/src/world/journal.rs
+++ b/rehearsal/src/world/journal.rs
@@ -22,6 +22,16 @@
     wire: WireId,
     number: u64,
     after: u64,
+    /// A slow service works on its answer; or has done so for long enough.
+    slow: Slow,
+}
+
+/// How far a slow service has come with an answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Slow {
+    NotBegun,
+    Working,
+    Done,
 }
 
 /// The journal service of one controller.
@@ -38,6 +48,8 @@
     /// Events that break it off, and that make it silent.
     pub broken: u32,
     pub silent: u32,
+    /// Events that make it slow, with the seconds that each answer takes.
+    pub slow: BTreeMap<usize, f64>,
 }
 
 impl Service {
@@ -115,7 +127,7 @@
         }
         self.services[controller].untold.insert(pos, (machine, state));
         if self.services[controller].sound() {
-            self.audit.saw(self.now, Seen::Held { controller, machine, state });
+            self.audit.saw(self.now, Seen::Held { controller, machine, state, again: false });
         }
         self.answer_poll(controller, false);
     }
@@ -125,7 +137,7 @@
         if self.services[controller].sound() {
             let untold: Vec<_> = self.services[controller].untold.values().copied().collect();
             for (machine, state) in untold {
-                self.audit.saw(self.now, Seen::Held { controller, machine, state });
+                self.audit.saw(self.now, Seen::Held { controller, machine, state, again: true });
             }
             self.answer_poll(controller, false);
         }
@@ -155,7 +167,7 @@
         let service = &mut self.services[controller];
         service.polls += 1;
         let number = service.polls;
-        service.poll = Some(Poll { wire, number, after });
+        service.poll = Some(Poll { wire, number, after, slow: Slow::NotBegun });
         self.later(wait.min(LONGEST_WAIT) * MS, Due::PollEnds(controller, wire, number));
         self.answer_poll(controller, false);
         true
@@ -168,6 +180,14 @@
         }
     }
 
+    /// A slow service has worked on an answer for long enough.
+    pub(super) fn poll_worked(&mut self, controller: usize, number: u64) {
+        if let Some(poll) = self.services[controller].poll.as_mut().filter(|p| p.number == number) {
+            poll.slow = Slow::Done;
+            self.answer_poll(controller, true);
+        }
+    }
+
     /// Answers the request that waits, if there is news or its time is up.
     fn answer_poll(&mut self, controller: usize, time_is_up: bool) {
         let service = &mut self.services[controller];
@@ -175,6 +195,15 @@
         let Some(poll) = service.poll.take_if(|p| sound && (time_is_up || p.after < last)) else { return };
         let news = &service.entries[(poll.after.min(last)) as usize..];
         let body = json!({"pos": last, "entries": news}).to_string();
+        let takes = service.slow.values().copied().fold(0.0, f64::max);
+        if takes > 0.0 && poll.slow != Slow::Done {
+            let number = poll.number;
+            if poll.slow == Slow::NotBegun {
+                self.later(nanos(takes), Due::PollWorked(controller, number));
+            }
+            self.services[controller].poll = Some(Poll { slow: Slow::Working, ..poll });
+            return;
+        }
         let told = std::mem::take(&mut service.untold);
         for (machine, state) in told.into_values() {
             self.audit.saw(self.now, Seen::Told { controller, machine, state });
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -15,6 +15,11 @@
 /// A leg that is over is known for so long.
 const FORGOTTEN_AFTER: Nanos = 5_000 * MS;
 
+/// Share of the answers that a node spoils, or gives twice, while it does so at all.
+const SPOILT: f64 = 0.3;
+/// A second copy of an answer comes so much later.
+const SECOND_COPY: Nanos = 5 * MS;
+
 /// A machine that bears, or bore, a node.
 pub(super) struct Machine {
     pub node: usize,
@@ -398,7 +403,7 @@
         let Some(l) = self.legs.get_mut(&leg) else { return };
         (l.state, l.refused_by) = (State::Over, cause);
         let (wire, call, sequence, controller) = (l.wire, l.call, l.sequence, l.controller);
-        if self.passes(wire) {
+        if self.arrives(wire) {
             self.audit.saw(self.now, Seen::Response { controller, id: call, code, cause, description: b"" });
         }
         let mut out = Vec::new();
@@ -413,13 +418,23 @@
         l.state = State::Stands;
         let (wire, call, sequence, controller) = (l.wire, l.call, l.sequence, l.controller);
         let answer = std::mem::take(&mut l.answer);
+        let mut out = Vec::new();
+        say(&mut out, format_args!("SIP/2.0 200 OK"), call, (sequence, "INVITE"), "", &answer);
+        let spoilt = self.spoils[self.legs[&leg].to] > 0 && self.rng.random_bool(SPOILT);
+        if spoilt && self.rng.random_bool(0.5) {
+            // It has run; what is left of it is nobody's.
+            out.truncate(out.len() / 2);
+            self.send(wire, &out);
+            return self.call_off(leg);
+        }
         let seen = Seen::Response { controller, id: call, code: 200, cause: "", description: &answer };
-        if self.passes(wire) {
+        if self.arrives(wire) {
             self.audit.saw(self.now, seen);
         }
-        let mut out = Vec::new();
-        say(&mut out, format_args!("SIP/2.0 200 OK"), call, (sequence, "INVITE"), "", &answer);
         self.send(wire, &out);
+        if spoilt {
+            self.later(SECOND_COPY, Due::Bytes(wire, out));
+        }
     }
 
     /// A set-up is given up: it is called off where it is, and its circuits are free a little later.
@@ -474,6 +489,15 @@
         self.send(wire, &out);
     }
 
+    /// Says the releases that a machine could not say while it was cut off.
+    pub(super) fn say_what_was_unsaid(&mut self, machine: usize) {
+        for (controller, unsaid) in std::mem::take(&mut self.machines[machine].unsaid) {
+            for (id, cause) in unsaid {
+                self.say_release(controller, machine, id, cause);
+            }
+        }
+    }
+
     fn say_release(&mut self, controller: usize, machine: usize, id: u64, cause: u8) {
         let wires = self.machines[machine].wires.get(&controller).map_or(&[][..], |w| w);
         let set_up_on = self.leg_of.get(&(controller, id)).and_then(|leg| self.legs.get(leg)).map(|l| l.wire);
