--- a/dillhold/src/engine/journal.rs
+++ b/dillhold/src/engine/journal.rs
@@ -14,8 +14,10 @@
 /// Pause before the journal is asked again after a bad answer or a lost connection. What it would have told
 /// counts as told 2 s after a break.
 const ASK_AGAIN: Nanos = 200 * MS;
-/// An answer is overdue so long after the service should have given it at the latest.
-const OVERDUE: Nanos = 700 * MS;
+/// An answer is overdue so long after the service should have given it at the latest. What a silent service would have
+/// told counts as told 2 s after the end of the wait that was asked for; 0.6 s are left to ask again. Given up sooner,
+/// a service that is only slow would be asked more often, and answer no call.
+const OVERDUE: Nanos = 1_400 * MS;
 
 /// What is known of the journal service.
 pub struct Feed {
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -326,6 +326,24 @@
     assert_eq!(answers.len(), 1, "{answers:?}");
 }
 
+/// A service that is only slow was once given up and asked again and again, and answered no call.
+#[test]
+fn a_slow_journal_is_waited_for_and_a_silent_one_is_asked_again_before_its_news_count_as_told() {
+    let mut bench = Bench::new();
+    let journal = bench.up(9);
+    bench.wait(3_300 * MS);
+    assert!(!bench.closed(journal), "its wait of 2 s ended 1.3 s ago");
+    bench.comes(journal, b"HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{\"pos\":1,\"entries\":[]}");
+    bench.wait(5 * MS);
+    let asked = bench.said(journal);
+    assert!(asked.ends_with(b"\r\n\r\n") && starts(&asked, "GET /journal?tail=1&"));
+    bench.wait(3_400 * MS);
+    assert!(bench.closed(journal));
+    bench.wait(500 * MS);
+    let again = bench.up(9);
+    assert!(starts(&bench.said(again), "GET /journal?tail=1&"), "3.9 s after it was asked");
+}
+
 /// Right after a start nobody is known to be a caller, and the release of a call of before went to a stranger.
 #[test]
 fn a_release_for_nobody_known_is_told_to_all_who_may_be_callers() {
