Rename what the earlier house style named: connect_failed, AttemptProgress, ConnectionCalls

Need: a newcomer meets words of the old style (unmade, Came, Borne, Lately, let_go, hung_up, spoilt).

--- a/dillhold/src/call/memory.rs
+++ b/dillhold/src/call/memory.rs
@@ -11,19 +11,19 @@
 /// start, and its release is passed on. At five seconds a caller was once told twice.
 const REMEMBERED: Nanos = 30_000 * MS;
 
-/// Calls that ended lately.
+/// Calls that lately.
 #[derive(Debug)]
-pub struct Lately {
+pub struct EndedCalls {
     most: usize,
     order: VecDeque<(Nanos, u64)>,
     /// By id, whether the call had its final answer; otherwise its caller went away and may ask again.
     ids: HashMap<u64, bool>,
 }
 
-impl Lately {
+impl EndedCalls {
     /// Remembers so many calls at the most; the oldest goes first.
-    pub fn new(most: usize) -> Lately {
-        Lately { most, order: VecDeque::new(), ids: HashMap::new() }
+    pub fn new(most: usize) -> EndedCalls {
+        EndedCalls { most, order: VecDeque::new(), ids: HashMap::new() }
     }
 
     /// From now on so many calls are remembered at the most.
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Whether this call ended lately.
+    /// Whether this call lately.
     pub fn knows(&self, id: u64) -> bool {
         self.ids.contains_key(&id)
     }
@@ -117,15 +117,15 @@
 
     #[test]
     fn calls_that_are_over_are_forgotten_in_time_and_beyond_the_bound() {
-        let mut lately = Lately::new(2);
+        let mut ended = EndedCalls::new(2);
         for (now, id) in [(1, 1), (2, 2), (3, 3)] {
-            lately.remember(now, id, id == 3);
+            ended.remember(now, id, id == 3);
         }
         assert_eq!(
-            [lately.knows(1), lately.knows(2), lately.answered(2), lately.answered(3)],
+            [ended.knows(1), ended.knows(2), ended.answered(2), ended.answered(3)],
             [false, true, false, true]
         );
-        lately.forget(2 + REMEMBERED);
-        assert_eq!((lately.knows(2), lately.due()), (false, Some(3 + REMEMBERED)));
+        ended.forget(2 + REMEMBERED);
+        assert_eq!((ended.knows(2), ended.due()), (false, Some(3 + REMEMBERED)));
     }
 }
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -22,7 +22,7 @@
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
 use crate::directory::{Bounds, Directory, News, Told};
-use memory::{Lately, Numbers};
+use memory::{EndedCalls, Numbers};
 pub use words::*;
 
 /// A caller that would wait for longer than so many of its class's deadlines is not served.
@@ -88,9 +88,9 @@
     pub in_use: f64,
 }
 
-/// What a connection from callers bears.
+/// The calls of one connection from callers.
 #[derive(Debug, Default)]
-struct Borne {
+struct ConnectionCalls {
     /// Set-ups that are owed an answer on it.
     open: BTreeSet<u64>,
     /// Calls that stand and were set up on it.
@@ -106,9 +106,9 @@
     pub directory: Directory,
     table: HashMap<u64, Call>,
     ids: HashMap<CallId, u64>,
-    /// What the connections from callers bear; those that bear nothing are not here.
-    borne: HashMap<CallerLink, Borne>,
-    over: Lately,
+    /// The calls of each connection from callers; connections without any are not here.
+    by_connection: HashMap<CallerLink, ConnectionCalls>,
+    ended_calls: EndedCalls,
     forgetting: bool,
     numbers: Numbers,
     /// Counts for the operator, if he has asked for it.
@@ -148,8 +148,8 @@
             directory,
             table: HashMap::new(),
             ids: HashMap::new(),
-            borne: HashMap::new(),
-            over: Lately::new(bounds.standing),
+            by_connection: HashMap::new(),
+            ended_calls: EndedCalls::new(bounds.standing),
             forgetting: false,
             // A caller that dials again does so within the longest deadline.
             numbers: Numbers::new(longest, bounds.standing),
@@ -207,7 +207,7 @@
     pub fn reconfigure(&mut self, told: Told, bounds: Bounds, settings: &serde_json::Value) {
         self.module.reconfigure(told.module.clone());
         self.directory.rezone(settings);
-        self.over.bound(bounds.standing);
+        self.ended_calls.bound(bounds.standing);
         (self.set, self.told, self.bounds) = (told.module.clone(), told, bounds);
     }
 
@@ -243,19 +243,19 @@
 
     /// Whether a set-up that came on this connection is owed an answer.
     pub fn open_on(&self, link: CallerLink) -> bool {
-        self.borne.get(&link).is_some_and(|b| !b.open.is_empty())
+        self.by_connection.get(&link).is_some_and(|b| !b.open.is_empty())
     }
 
     /// Whether a call of this connection is open or stands.
-    pub fn bears(&self, link: CallerLink) -> bool {
-        self.borne.contains_key(&link)
+    pub fn has_calls(&self, link: CallerLink) -> bool {
+        self.by_connection.contains_key(&link)
     }
 
-    fn borne(&mut self, link: CallerLink, change: impl FnOnce(&mut Borne)) {
-        let borne = self.borne.entry(link).or_default();
-        change(borne);
-        if borne.open.is_empty() && borne.standing == 0 {
-            self.borne.remove(&link);
+    fn update_connection(&mut self, link: CallerLink, change: impl FnOnce(&mut ConnectionCalls)) {
+        let calls = self.by_connection.entry(link).or_default();
+        change(calls);
+        if calls.open.is_empty() && calls.standing == 0 {
+            self.by_connection.remove(&link);
         }
     }
 
@@ -275,7 +275,7 @@
                 }
                 false
             }
-            FromCaller::Release { id, cause } => self.let_go(now, id, cause),
+            FromCaller::Release { id, cause } => self.released_by_caller(now, id, cause),
         }
     }
 
@@ -294,7 +294,7 @@
         self.counters.up("taken set-ups twice");
         self.say(Some(link), id, ToCaller::Failed);
         match known {
-            (true, true, _) => self.hung_up(now, id, true),
+            (true, true, _) => self.abandon(now, id, true),
             (true, false, Some(stood)) => {
                 self.say_exchange(stood.exchange, id, ToExchange::Release(16));
                 self.over_standing(now, id, Outcome::CalledOff);
@@ -312,7 +312,7 @@
         let class = self.told.classes.iter().position(|c| c.as_bytes() == s.class);
         let fits = |c: &usize| s.wait <= MOST_DEADLINES * self.set.classes[*c].deadline;
         // A late word on a call that had this id would be taken for one on the new call.
-        let (Some(class), false) = (class.filter(fits), self.over.answered(s.id)) else {
+        let (Some(class), false) = (class.filter(fits), self.ended_calls.answered(s.id)) else {
             self.unservable(link, s.id);
             return false;
         };
@@ -361,7 +361,7 @@
             },
         );
         (self.open, self.held) = (self.open + 1, self.held + size);
-        self.borne(link, |b| {
+        self.update_connection(link, |b| {
             b.open.insert(s.id);
         });
         // The module answers two ticks before the caller gives up. A call that has no answer by half a tick
@@ -390,11 +390,11 @@
     }
 
     /// A caller gives its set-up up, or releases a call that stands.
-    fn let_go(&mut self, now: Nanos, id: u64, cause: u8) -> bool {
+    fn released_by_caller(&mut self, now: Nanos, id: u64, cause: u8) -> bool {
         let Some(call) = self.table.get(&id) else {
             // A call of before this program started, which some exchange still holds. What only crosses the
             // end of a call here is known and goes nowhere.
-            let unknown = !self.over.knows(id);
+            let unknown = !self.ended_calls.knows(id);
             if unknown {
                 self.counters.up("taken releases of unknown calls");
                 self.remember(now, id, true);
@@ -405,7 +405,7 @@
         };
         if call.owed {
             self.counters.up("taken set-ups given up");
-            self.hung_up(now, id, true);
+            self.abandon(now, id, true);
         } else if let Some(stood) = call.stands {
             self.counters.up("taken releases from callers");
             self.say_exchange(stood.exchange, id, ToExchange::Release(cause));
@@ -415,7 +415,7 @@
     }
 
     /// The caller has left, or the answer is given without the module. `for_good`: the id may not come again.
-    fn hung_up(&mut self, now: Nanos, id: u64, for_good: bool) {
+    fn abandon(&mut self, now: Nanos, id: u64, for_good: bool) {
         if let Some(handle) = self.answered(id) {
             self.tell(now, Event::HungUp(handle));
             self.give_up(now, id, Outcome::CalledOff);
@@ -425,11 +425,11 @@
 
     /// A caller's connection has ended: its open set-ups are given up.
     pub fn caller_lost(&mut self, now: Nanos, link: CallerLink) {
-        let lost = self.borne.get(&link).map(|b| b.open.clone());
+        let lost = self.by_connection.get(&link).map(|b| b.open.clone());
         for id in lost.unwrap_or_default() {
             self.counters.up("errors set-ups lost with their caller");
             // A set-up that crossed the close may come again on another connection.
-            self.hung_up(now, id, false);
+            self.abandon(now, id, false);
         }
     }
 
@@ -494,7 +494,7 @@
             // never sent from here is dropped, for nothing stands for it.
             let call = self.table.get(&id);
             let copy = call.and_then(|c| c.stands).is_some_and(|s| self.speaks_for(exchange, s.exchange));
-            if !copy && (call.is_some() || self.over.knows(id)) {
+            if !copy && (call.is_some() || self.ended_calls.knows(id)) {
                 self.say_exchange(exchange, id, ToExchange::Release(16));
             }
             return;
@@ -509,7 +509,7 @@
         (call.number, call.description) = (Vec::new(), Vec::new());
         let (handle, link) = (call.handle, call.link);
         self.answered(id);
-        self.borne(link, |b| b.standing += 1);
+        self.update_connection(link, |b| b.standing += 1);
         let standing = self.standing_at.entry(out.exchange).or_default();
         *standing += 1;
         if *standing == 1 {
@@ -524,7 +524,7 @@
         self.counters.up("taken releases from exchanges");
         let Some(call) = self.table.get(&id) else {
             // A call of before this program started: its caller still waits for the release.
-            if !self.over.knows(id) {
+            if !self.ended_calls.knows(id) {
                 self.counters.up("taken releases of unknown calls");
                 self.remember(now, id, true);
                 self.say(None, id, ToCaller::Released(cause));
@@ -557,19 +557,23 @@
         let mut out: Vec<_> = out.collect();
         out.sort_unstable_by_key(|(id, _)| *id);
         for (id, out) in out {
-            let came = if unsent.contains(&(id, out.attempt)) { Came::NeverSent } else { Came::Sent };
+            let came = if unsent.contains(&(id, out.attempt)) {
+                AttemptProgress::NeverSent
+            } else {
+                AttemptProgress::Sent
+            };
             self.attempt_lost(now, id, out.attempt, came);
         }
     }
 
     /// An attempt's connection failed it.
-    pub fn attempt_lost(&mut self, now: Nanos, id: u64, attempt: u32, came: Came) {
+    pub fn attempt_lost(&mut self, now: Nanos, id: u64, attempt: u32, came: AttemptProgress) {
         let Some(out) = self.table.get(&id).and_then(|c| c.out).filter(|o| o.attempt == attempt) else {
             return;
         };
         let (outcome, name) = match came {
-            Came::NeverSent => (Outcome::Unreachable, "errors attempts never sent"),
-            Came::Sent => (Outcome::Cut, "errors attempts cut"),
+            AttemptProgress::NeverSent => (Outcome::Unreachable, "errors attempts never sent"),
+            AttemptProgress::Sent => (Outcome::Cut, "errors attempts cut"),
         };
         self.counters.up(name);
         self.ended(now, id, out, (outcome, Cause::Untold, Report::default()));
@@ -686,7 +690,7 @@
                     self.counters.up("errors answers overdue");
                     let link = self.table[&id].link;
                     self.say(Some(link), id, ToCaller::Failed);
-                    self.hung_up(now, id, true);
+                    self.abandon(now, id, true);
                 }
             }
             Due::Gone(exchange) => {
@@ -701,7 +705,7 @@
             Due::Measured => self.close_intervals(now, false),
             Due::Forget => {
                 self.forgetting = false;
-                self.over.forget(now);
+                self.ended_calls.forget(now);
                 self.remind();
             }
             Due::Link(_) => {}
@@ -829,7 +833,7 @@
         let (link, handle) = (call.link, call.handle);
         self.open -= 1;
         self.held -= call.size;
-        self.borne(link, |b| {
+        self.update_connection(link, |b| {
             b.open.remove(&id);
         });
         Some(handle)
@@ -882,7 +886,7 @@
             }
             self.ids.remove(&call.handle);
             if let Some(stood) = call.stands {
-                self.borne(call.link, |b| b.standing -= 1);
+                self.update_connection(call.link, |b| b.standing -= 1);
                 self.stands_no_more(stood.exchange);
             }
             self.remember(now, id, for_good);
@@ -890,12 +894,12 @@
     }
 
     fn remember(&mut self, now: Nanos, id: u64, for_good: bool) {
-        self.over.remember(now, id, for_good);
+        self.ended_calls.remember(now, id, for_good);
         self.remind();
     }
 
     fn remind(&mut self) {
-        if let (Some(due), false) = (self.over.due(), self.forgetting) {
+        if let (Some(due), false) = (self.ended_calls.due(), self.forgetting) {
             self.forgetting = true;
             self.deadlines.add(due, Due::Forget);
         }
--- a/dillhold/src/call/words.rs
+++ b/dillhold/src/call/words.rs
@@ -81,7 +81,7 @@
 
 /// How far an attempt had come when its connection failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Came {
+pub enum AttemptProgress {
     /// Its set-up never left.
     NeverSent,
     /// Its set-up may have arrived.
--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -166,7 +166,7 @@
     })
 }
 
-/// One machine on the list, or one that has left it and still bears calls.
+/// One machine on the list, or one that has left it and still has calls.
 #[derive(Clone, Debug)]
 pub struct Machine {
     /// Where it listens.
@@ -226,7 +226,7 @@
         self.machines.iter().map(|(id, m)| (*id, m))
     }
 
-    /// Drops a machine that has left the list and bears no more calls.
+    /// Drops a machine that has left the list and has no more calls.
     pub fn drop_gone(&mut self, id: ExchangeId) {
         self.machines.retain(|i, m| *i != id || m.standing != Standing::Gone);
     }
--- a/dillhold/src/engine/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -55,12 +55,12 @@
     }
 
     /// Closes the connection that is of least use: the oldest of those never told that a call stands, else the
-    /// one that has been quiet for longest. One that bears a call, or has an answer still to be written, stays:
+    /// one that has been quiet for longest. One that has a call, or has an answer still to be written, stays:
     /// closing it once cost callers their answers, and their releases went to strangers.
     fn make_room(&mut self) -> bool {
         // What was decided in this turn is written first: a connection may look idle with its answer on the way.
         self.carry_out();
-        let free = |token: &u64| !self.calls.bears(*token) && self.pending(*token).is_empty();
+        let free = |token: &u64| !self.calls.has_calls(*token) && self.pending(*token).is_empty();
         let callers = self.conns.iter().filter_map(|(token, conn)| match &conn.peer {
             Peer::Caller(caller) => {
                 Some((caller.proven, if caller.proven { caller.heard } else { 0 }, *token))
@@ -84,7 +84,7 @@
         let half = !caller.inbox.rest().is_empty() && since(conn.read) >= HALF;
         let no_word = !caller.answered && !self.calls.open_on(token);
         let quiet = since(caller.heard.max(conn.opened)) >= IDLE;
-        let idle = quiet && !self.calls.bears(token) && self.callers.count > IDLE_KEPT;
+        let idle = quiet && !self.calls.has_calls(token) && self.callers.count > IDLE_KEPT;
         let reason = match (half, no_word, idle) {
             (true, _, _) => Some(CloseReason::CallerMessageIncomplete),
             (_, true, _) => Some(CloseReason::CallerUnanswered),
@@ -122,7 +122,7 @@
 
     /// Whether a caller's connection can still be written to, and is known to be one if that is asked for.
     fn can_hear(&self, token: ConnId, proven: bool) -> bool {
-        let conn = self.conns.get(&token).filter(|c| !c.ended && !c.spoilt && !c.finishing);
+        let conn = self.conns.get(&token).filter(|c| !c.ended && !c.unreadable && !c.finishing);
         conn.is_some_and(|c| matches!(&c.peer, Peer::Caller(caller) if caller.proven || !proven))
     }
 
--- a/dillhold/src/engine/close_reason.rs
+++ b/dillhold/src/engine/close_reason.rs
@@ -9,7 +9,7 @@
     CallerMessageIncomplete,
     /// A caller was told nothing and no set-up is open on its connection.
     CallerUnanswered,
-    /// A caller bears no call and has been quiet.
+    /// A caller has no call and has been quiet.
     CallerIdle,
     /// The buffers of all connections take too much memory, and this one more than its share.
     OutOfMemory,
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -8,7 +8,7 @@
 use super::close_reason::CloseReason;
 use super::failure_detector::FailureDetector;
 use super::{ConnId, Engine, Peer};
-use crate::call::{Came, Due, LinkDue, ToExchange};
+use crate::call::{AttemptProgress, Due, LinkDue, ToExchange};
 use crate::clock::MS;
 use crate::session::exchange::Exchange;
 
@@ -163,7 +163,7 @@
         }
     }
 
-    pub(super) fn link_lost(&mut self, id: ExchangeId, unmade: bool, refused: bool) {
+    pub(super) fn link_lost(&mut self, id: ExchangeId, connect_failed: bool, refused: bool) {
         let Some(link) = self.links.get_mut(&id) else { return };
         (link.conn, link.unheard_since) = (None, None);
         let unsent = link.session.lost();
@@ -175,7 +175,7 @@
             // A connection that was up is made again at once, for what the exchange has to say meanwhile; one
             // that ended as soon as it was up is not, or the two would keep each other busy.
             link.redial = true;
-            let pause = if unmade || self.now < link.up_at + REDIAL { REDIAL } else { 0 };
+            let pause = if connect_failed || self.now < link.up_at + REDIAL { REDIAL } else { 0 };
             self.calls.deadlines.add(self.now + pause, Due::Link(LinkDue::Redial(id)));
         }
         self.calls.exchange_lost(self.now, id, &unsent);
@@ -212,14 +212,14 @@
     pub(super) fn say_exchange(&mut self, to: ExchangeId, id: u64, say: &ToExchange) {
         let Some(link) = self.links.get_mut(&to) else {
             if let ToExchange::SetUp { attempt, .. } = say {
-                self.calls.attempt_lost(self.now, id, *attempt, Came::NeverSent);
+                self.calls.attempt_lost(self.now, id, *attempt, AttemptProgress::NeverSent);
             }
             return;
         };
         let goes = link.session.say(id, say);
         let conn = link.conn;
         if let (ToExchange::SetUp { attempt, .. }, false) = (say, goes) {
-            self.calls.attempt_lost(self.now, id, *attempt, Came::NeverSent);
+            self.calls.attempt_lost(self.now, id, *attempt, AttemptProgress::NeverSent);
         }
         match conn {
             Some(token) => {
--- a/dillhold/src/engine/leave.rs
+++ b/dillhold/src/engine/leave.rs
@@ -17,7 +17,7 @@
 
 impl Engine {
     /// The signal to end: goes on serving for a while, then takes no more callers and leaves once no set-up is open
-    /// and no connection bears a call that stands, at the latest some time after the longest deadline.
+    /// and no connection has a call that stands, at the latest some time after the longest deadline.
     pub fn end(&mut self) {
         let longest = self.calls.told().module.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let Some(plan) = self.shutdown.signalled(self.now, longest) else { return };
@@ -58,7 +58,7 @@
         let Peer::Caller(caller) = &conn.peer else { return false };
         let quiet = self.now >= conn.read + QUIET_BEFORE_CLOSE;
         let whole = caller.inbox.rest().is_empty() && caller.outbox.pending().is_empty();
-        quiet && whole && !conn.finishing && !self.calls.bears(token)
+        quiet && whole && !conn.finishing && !self.calls.has_calls(token)
     }
 
     /// Whether the last connection on which something was left is gone.
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -32,7 +32,7 @@
 use measured::record::Interval;
 use pitchgw::interface::{ExchangeId, Nanos};
 
-use crate::call::{Calls, Came, Command, Due, LinkDue, ToCaller};
+use crate::call::{AttemptProgress, Calls, Command, Due, LinkDue, ToCaller};
 use crate::clock::MS;
 use crate::counters::Counters;
 use crate::directory::{Bounds, Config, Directory, Told};
@@ -60,7 +60,7 @@
 /// What is to be done with sockets, in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Output {
-    /// Connect. [`Engine::connected`] or [`Engine::unmade`] tells what came of it.
+    /// Connect. [`Engine::connected`] or [`Engine::connect_failed`] tells what came of it.
     Dial {
         /// The number that the connection has from now on.
         conn: ConnId,
@@ -107,7 +107,7 @@
     /// The other side writes no more.
     ended: bool,
     /// What it sends cannot be read on: it is closed once what it was answered has been written.
-    spoilt: bool,
+    unreadable: bool,
     /// Its writing side is closed; what still comes is dropped.
     finishing: bool,
     /// When it was opened, and when bytes last came.
@@ -272,8 +272,8 @@
         let token = self.next_conn;
         self.next_conn += 1;
         let (opened, read) = (self.now, self.now);
-        let (ended, spoilt, finishing, held) = (false, false, false, 0);
-        self.conns.insert(token, Conn { peer, connecting, ended, spoilt, finishing, opened, read, held });
+        let (ended, unreadable, finishing, held) = (false, false, false, 0);
+        self.conns.insert(token, Conn { peer, connecting, ended, unreadable, finishing, opened, read, held });
         token
     }
 
@@ -328,7 +328,7 @@
     }
 
     /// A connection that was dialled did not come up. `refused`: nothing listens there, so nothing ran.
-    pub fn unmade(&mut self, token: ConnId, refused: bool) {
+    pub fn connect_failed(&mut self, token: ConnId, refused: bool) {
         self.fail(token, true, refused);
     }
 
@@ -347,7 +347,7 @@
     }
 
     /// Both directions of a connection are closed. One that only waited to be written to is gone.
-    pub fn hung_up(&mut self, token: ConnId) {
+    pub fn peer_closed(&mut self, token: ConnId) {
         if self.conns.get(&token).is_some_and(|c| c.ended) {
             self.lost(token);
         }
@@ -362,7 +362,7 @@
 
     /// Where the next bytes that come on a connection go; `None`: it is not read from any more.
     pub fn room(&mut self, token: ConnId) -> Option<&mut [u8]> {
-        self.conns.get(&token).filter(|c| !c.ended && !c.spoilt && !c.connecting)?;
+        self.conns.get(&token).filter(|c| !c.ended && !c.unreadable && !c.connecting)?;
         Some(self.buffers(token)?.0.room())
     }
 
@@ -385,7 +385,7 @@
         }
         match self.conns.get_mut(&token) {
             Some(conn) if matches!(conn.peer, Peer::Caller(_)) => {
-                conn.spoilt = true;
+                conn.unreadable = true;
                 tracing::info!(conn = token, "caller cannot be read: closed once it is answered");
                 self.calls.counters.up("errors unreadable");
             }
@@ -447,7 +447,7 @@
         }
     }
 
-    fn fail(&mut self, token: ConnId, unmade: bool, refused: bool) {
+    fn fail(&mut self, token: ConnId, connect_failed: bool, refused: bool) {
         let Some(conn) = self.forget(token) else { return };
         match conn.peer {
             Peer::Caller(caller) => {
@@ -464,17 +464,23 @@
                 }
             }
             Peer::Journal(_) => {
-                tracing::warn!(conn = token, unmade, "journal connection lost");
+                tracing::warn!(conn = token, connect_failed, "journal connection lost");
                 self.calls.counters.up("errors journal connections lost");
                 self.journal_lost();
             }
             Peer::Exchange(id) => {
-                tracing::warn!(conn = token, exchange = id, unmade, refused, "exchange connection lost");
-                self.calls.counters.up(match unmade {
+                tracing::warn!(
+                    conn = token,
+                    exchange = id,
+                    connect_failed,
+                    refused,
+                    "exchange connection lost"
+                );
+                self.calls.counters.up(match connect_failed {
                     true => "errors exchange connections unmade",
                     false => "errors exchange connections lost",
                 });
-                self.link_lost(id, unmade, refused);
+                self.link_lost(id, connect_failed, refused);
             }
             Peer::Check(check) => self.check_lost(check.exchange, refused),
         }
@@ -520,7 +526,7 @@
         let conn = self.conns.get_mut(&token).filter(|c| !c.connecting)?;
         self.held = self.held - conn.held + held;
         conn.held = held;
-        let (caller, ended, spoilt) = (matches!(conn.peer, Peer::Caller(_)), conn.ended, conn.spoilt);
+        let (caller, ended, unreadable) = (matches!(conn.peer, Peer::Caller(_)), conn.ended, conn.unreadable);
         // When memory is short, a caller that holds more than its share of it makes room.
         let over = caller && self.held > bounds.buffered && held > bounds.buffered / bounds.connections;
         if over || left > SLOW[1] {
@@ -528,7 +534,7 @@
             self.close(token, reason);
             return None;
         }
-        if spoilt || ended && left == 0 && !self.calls.open_on(token) {
+        if unreadable || ended && left == 0 && !self.calls.open_on(token) {
             self.close(token, CloseReason::Finished);
             return None;
         }
@@ -543,7 +549,7 @@
         match due {
             LinkDue::Connect(token) => {
                 if self.conns.get(&token).is_some_and(|c| c.connecting) {
-                    self.unmade(token, false);
+                    self.connect_failed(token, false);
                 }
             }
             LinkDue::Half(id, token) => self.half_due(id, token),
@@ -572,7 +578,7 @@
                 Command::Withhold(id) => {
                     let back = self.links.get_mut(&id).map(|l| l.session.withhold()).unwrap_or_default();
                     for (call, attempt) in back {
-                        self.calls.attempt_lost(self.now, call, attempt, Came::NeverSent);
+                        self.calls.attempt_lost(self.now, call, attempt, AttemptProgress::NeverSent);
                     }
                 }
                 Command::Listed => self.listed(),
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -245,7 +245,9 @@
                         Ok(made) => {
                             self.conns.insert(conn, made);
                         }
-                        Err(e) => self.engine.unmade(conn, e.kind() == io::ErrorKind::ConnectionRefused),
+                        Err(e) => {
+                            self.engine.connect_failed(conn, e.kind() == io::ErrorKind::ConnectionRefused)
+                        }
                     }
                 }
                 Output::Close(conn) => {
@@ -295,11 +297,11 @@
         if conn.connecting {
             return match conn.connected() {
                 Ok(()) => self.engine.connected(token),
-                Err(e) => self.engine.unmade(token, e.kind() == io::ErrorKind::ConnectionRefused),
+                Err(e) => self.engine.connect_failed(token, e.kind() == io::ErrorKind::ConnectionRefused),
             };
         }
         if flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR) {
-            self.engine.hung_up(token);
+            self.engine.peer_closed(token);
         }
         self.engine.writable(token);
         if flags.intersects(epoll::EventFlags::IN | epoll::EventFlags::HUP | epoll::EventFlags::ERR) {
--- a/dillhold/tests/calls.rs
+++ b/dillhold/tests/calls.rs
@@ -160,7 +160,7 @@
     set_up(&mut calls, START, 7, 1, false);
     let given_up = Command::Exchange { to: 0, id: 1, say: ToExchange::GiveUp { attempt: 0 } };
     assert_eq!(calls.commands, vec![failed(7), given_up], "one answer for both");
-    assert_eq!((calls.open(), calls.bears(7)), (0, false));
+    assert_eq!((calls.open(), calls.has_calls(7)), (0, false));
     calls.commands.clear();
     set_up(&mut calls, START + MS, 9, 1, false);
     assert_eq!(calls.commands, vec![failed(9)], "late words on the first would be taken for the second's");
@@ -184,11 +184,11 @@
 fn what_a_connection_bears_is_known_until_its_last_call_is_over() {
     let mut calls = table();
     set_up(&mut calls, START, 7, 1, false);
-    assert!(calls.open_on(7) && calls.bears(7));
+    assert!(calls.open_on(7) && calls.has_calls(7));
     calls.from_exchange(START, 0, FromExchange::Answered { id: 1, description: b"d" });
-    assert!(!calls.open_on(7) && calls.bears(7));
+    assert!(!calls.open_on(7) && calls.has_calls(7));
     calls.from_exchange(START, 0, FromExchange::Released { id: 1, cause: 16 });
-    assert!(!calls.bears(7));
+    assert!(!calls.has_calls(7));
 }
 
 /// An answer under an id that was never sent from here was once answered with a release.
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -529,7 +529,7 @@
         bench.wait(300 * MS);
         if dial_fails {
             let refused = bench.dialled(1).unwrap();
-            bench.turn(|e| e.unmade(refused, true));
+            bench.turn(|e| e.connect_failed(refused, true));
             bench.wait(300 * MS);
         }
         let again = bench.up(1);
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -247,7 +247,7 @@
     let mut wire = ask(&sockets[0]);
     let newcomer = listener();
     let address = newcomer.local_addr().unwrap();
-    // The machine that bears number 1 is replaced by one at another address.
+    // The machine that has number 1 is replaced by one at another address.
     let old = sockets[1].local_addr().unwrap();
     let targets = [target(1, "s-1", old, "DRAINING"), target(1, "s-9", address, "SERVING")];
     let hosts = json!({"rev": 2, "all": false, "targets": targets});
--- a/rehearsal/src/virtual_clock.rs
+++ b/rehearsal/src/virtual_clock.rs
@@ -30,7 +30,7 @@
     fn next_due(&self) -> Option<Nanos>;
     fn accepted(&mut self) -> Option<ConnId>;
     fn connected(&mut self, conn: ConnId);
-    fn unmade(&mut self, conn: ConnId, refused: bool);
+    fn connect_failed(&mut self, conn: ConnId, refused: bool);
     fn read_ended(&mut self, conn: ConnId);
     fn room(&mut self, conn: ConnId) -> Option<&mut [u8]>;
     fn filled(&mut self, conn: ConnId, count: usize);
@@ -69,7 +69,7 @@
     begin(&mut self, now: Nanos);
     accepted(&mut self) -> Option<ConnId>;
     connected(&mut self, conn: ConnId);
-    unmade(&mut self, conn: ConnId, refused: bool);
+    connect_failed(&mut self, conn: ConnId, refused: bool);
     read_ended(&mut self, conn: ConnId);
     room(&mut self, conn: ConnId) -> Option<&mut [u8]>;
     filled(&mut self, conn: ConnId, count: usize);
@@ -132,7 +132,7 @@
     Bytes(WireId, Vec<u8>),
     Ended(WireId),
     Connected(ConnId, WireId),
-    Unmade(ConnId),
+    ConnectFailed(ConnId),
 }
 
 enum Delivery {
@@ -290,7 +290,7 @@
                 }
                 let what = match self.world.reach(host, party) {
                     Reach::Up => Inbound::Connected(conn, self.world.accepted(now, host, party)),
-                    Reach::Refused => Inbound::Unmade(conn),
+                    Reach::Refused => Inbound::ConnectFailed(conn),
                     Reach::Never => return,
                 };
                 self.inbound(host, what);
@@ -355,9 +355,9 @@
                 self.hosts[host].conns.insert(conn, wire);
                 controller.connected(conn);
             }
-            Inbound::Unmade(conn) => {
+            Inbound::ConnectFailed(conn) => {
                 self.hosts[host].dialling.remove(&conn);
-                controller.unmade(conn, true);
+                controller.connect_failed(conn, true);
             }
             Inbound::Bytes(wire, bytes) => {
                 let Some(conn) = self.hosts[host].wires.get(&wire).copied() else { return };
--- a/rehearsal/tests/common/mod.rs
+++ b/rehearsal/tests/common/mod.rs
@@ -390,7 +390,7 @@
             self.ask(conn);
         }
     }
-    fn unmade(&mut self, conn: ConnId, _refused: bool) {
+    fn connect_failed(&mut self, conn: ConnId, _refused: bool) {
         self.gone(conn);
     }
     fn read_ended(&mut self, conn: ConnId) {
