Split the call table: attempts and standing calls have modules of their own

Change: functions moved, explicit imports, one debug line where an exchange is first seen to greet; nothing else.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -5,10 +5,11 @@
 //! the attempts' cap, the wait after an attempt that may have left something behind, the destinations a call
 //! may go to, and exactly one final answer before the caller gives up.
 
+mod attempts;
 mod memory;
+mod standing;
 mod words;
 
-use std::collections::hash_map::Entry;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -23,6 +24,7 @@
 use crate::deadlines::Deadlines;
 use crate::directory::{Bounds, Directory, News, Told};
 use memory::{EndedCalls, Numbers};
+pub use standing::GroupState;
 pub use words::*;
 
 /// A caller that would wait for longer than so many of its class's deadlines is not served.
@@ -79,15 +81,6 @@
     (time / MS) as i64
 }
 
-/// The state of the group to an exchange.
-#[derive(Clone, Copy, Debug)]
-pub struct GroupState {
-    /// When the exchange told it.
-    pub at: Nanos,
-    /// Circuits in use, by calls of either end.
-    pub in_use: f64,
-}
-
 /// The calls of one connection from callers.
 #[derive(Debug, Default)]
 struct ConnectionCalls {
@@ -433,34 +426,10 @@
         }
     }
 
-    /// A call's answer could not be brought to its caller: what stands at the exchange serves nobody.
-    pub fn answer_lost(&mut self, now: Nanos, id: u64) {
-        if let Some(stood) = self.table.get(&id).and_then(|c| c.stands) {
-            self.counters.up("errors answers lost with their caller");
-            self.say_exchange(stood.exchange, id, ToExchange::Release(16));
-            self.over_standing(now, id, Outcome::CalledOff);
-        }
-    }
-
     // -----------------------------------------------------------------------------------------------------
     // From exchanges
     // -----------------------------------------------------------------------------------------------------
 
-    /// The attempt that is out for a call, if it is at this exchange. Exchanges name the call and not which of
-    /// its attempts they speak of: by the release wait, or by its final response, an earlier attempt at the same
-    /// exchange has had its last word before the next one is sent.
-    fn out_at(&self, id: u64, exchange: ExchangeId) -> Option<Out> {
-        self.table.get(&id)?.out.filter(|o| self.speaks_for(exchange, o.exchange))
-    }
-
-    /// Whether what comes from one machine's connection may be another's word. Where a machine has the address of
-    /// one that has gone, the link to the old one ends at the new one until the journal tells, and no connection
-    /// owns a call: a release heard there was once dropped, and its call left standing.
-    fn speaks_for(&self, heard: ExchangeId, exchange: ExchangeId) -> bool {
-        let address = |id| self.directory.machine(id).map(|m| m.address);
-        heard == exchange || address(heard).is_some_and(|a| address(exchange) == Some(a))
-    }
-
     /// Takes in what an exchange said.
     pub fn from_exchange(&mut self, now: Nanos, exchange: ExchangeId, said: FromExchange<'_>) {
         match said {
@@ -520,139 +489,6 @@
         self.tell(now, Event::Stands { call: handle, attempt: out.attempt, took: now - out.sent });
     }
 
-    fn released(&mut self, now: Nanos, exchange: ExchangeId, id: u64, cause: u8) {
-        self.counters.up("taken releases from exchanges");
-        let Some(call) = self.table.get(&id) else {
-            // A call of before this program started: its caller still waits for the release.
-            if !self.ended_calls.knows(id) {
-                self.counters.up("taken releases of unknown calls");
-                self.remember(now, id, true);
-                self.say(None, id, ToCaller::Released(cause));
-            }
-            return;
-        };
-        if call.stands.is_some_and(|s| self.speaks_for(exchange, s.exchange)) {
-            let outcome = if cause == 16 { Outcome::Completed } else { Outcome::Cut };
-            let link = call.link;
-            self.say(Some(link), id, ToCaller::Released(cause));
-            self.over_standing(now, id, outcome);
-        }
-    }
-
-    /// The connection to an exchange is gone. `unsent` are the attempts whose set-up never left. One that is still
-    /// to be carried out has not left either: taken for cut it was once written to the next connection all the same,
-    /// and the call sent again beside it.
-    pub fn exchange_lost(&mut self, now: Nanos, exchange: ExchangeId, unsent: &[(u64, u32)]) {
-        let mut unsent = unsent.to_vec();
-        self.commands.retain(|command| match command {
-            Command::Exchange { to, id, say: ToExchange::SetUp { attempt, .. } } if *to == exchange => {
-                unsent.push((*id, *attempt));
-                false
-            }
-            _ => true,
-        });
-        let here = |c: &Call| c.out.filter(|o| o.exchange == exchange);
-        let out = self.table.iter().filter_map(|(id, c)| here(c).map(|o| (*id, o)));
-        // In the order of ids: the table's own order differs from run to run.
-        let mut out: Vec<_> = out.collect();
-        out.sort_unstable_by_key(|(id, _)| *id);
-        for (id, out) in out {
-            let came = if unsent.contains(&(id, out.attempt)) {
-                AttemptProgress::NeverSent
-            } else {
-                AttemptProgress::Sent
-            };
-            self.attempt_lost(now, id, out.attempt, came);
-        }
-    }
-
-    /// An attempt's connection failed it.
-    pub fn attempt_lost(&mut self, now: Nanos, id: u64, attempt: u32, came: AttemptProgress) {
-        let Some(out) = self.table.get(&id).and_then(|c| c.out).filter(|o| o.attempt == attempt) else {
-            return;
-        };
-        let (outcome, name) = match came {
-            AttemptProgress::NeverSent => (Outcome::Unreachable, "errors attempts never sent"),
-            AttemptProgress::Sent => (Outcome::Cut, "errors attempts cut"),
-        };
-        self.counters.up(name);
-        self.ended(now, id, out, (outcome, Cause::Untold, Report::default()));
-    }
-
-    /// Calls that stand on an exchange and were sent before a time, with the connections of their set-ups, in the
-    /// order of ids.
-    fn standing_before(&self, exchange: ExchangeId, before: Nanos) -> Vec<(u64, CallerLink)> {
-        let here = |c: &Call| c.stands.is_some_and(|s| s.exchange == exchange && s.sent < before);
-        let stood = self.table.iter().filter(|(_, c)| here(c)).map(|(id, c)| (*id, c.link));
-        let mut stood: Vec<_> = stood.collect();
-        stood.sort_unstable();
-        stood
-    }
-
-    /// The exchange's process has ended, and with it the calls that stood there and were sent before.
-    pub fn exchange_ended(&mut self, now: Nanos, exchange: ExchangeId, before: Nanos) {
-        for (id, link) in self.standing_before(exchange, before) {
-            self.cut_standing(now, id, link);
-        }
-    }
-
-    /// The exchange has vanished, and with it the calls that stood there. Should it have been cut off only, it is
-    /// told that they are over once it can be reached.
-    pub fn exchange_vanished(&mut self, now: Nanos, exchange: ExchangeId) {
-        for (id, link) in self.standing_before(exchange, Nanos::MAX) {
-            self.say_exchange(exchange, id, ToExchange::Release(CUT));
-            self.cut_standing(now, id, link);
-        }
-    }
-
-    fn cut_standing(&mut self, now: Nanos, id: u64, link: CallerLink) {
-        tracing::debug!(call = format_args!("{id:016x}"), "call cut with its exchange");
-        self.counters.up("errors calls cut with their exchange");
-        self.say(Some(link), id, ToCaller::Released(CUT));
-        self.over_standing(now, id, Outcome::Cut);
-    }
-
-    /// Whether an attempt is out at an exchange.
-    pub fn attempts_out_at(&self, exchange: ExchangeId) -> bool {
-        self.table.values().any(|c| c.out.is_some_and(|o| o.exchange == exchange))
-    }
-
-    /// How many calls stand on an exchange.
-    pub fn standing_at(&self, exchange: ExchangeId) -> usize {
-        self.standing_at.get(&exchange).copied().unwrap_or(0)
-    }
-
-    fn stands_no_more(&mut self, exchange: ExchangeId) {
-        if let Entry::Occupied(mut standing) = self.standing_at.entry(exchange) {
-            *standing.get_mut() -= 1;
-            if *standing.get() == 0 {
-                standing.remove();
-            }
-        }
-    }
-
-    /// Circuits of the calls that stand on an exchange and were sent before a time.
-    pub fn circuits_of_standing(&self, exchange: ExchangeId, before: Nanos) -> u32 {
-        let here = |c: &&Call| c.stands.is_some_and(|s| s.exchange == exchange && s.sent < before);
-        self.table.values().filter(here).map(|c| c.width).sum()
-    }
-
-    /// The state of the group to an exchange, as it first told it since [`Calls::forget_group`].
-    pub fn group(&self, exchange: ExchangeId) -> Option<GroupState> {
-        self.groups.get(&exchange).copied()
-    }
-
-    /// Forgets the state of the group to an exchange: the next one that it tells is kept.
-    pub fn forget_group(&mut self, exchange: ExchangeId) {
-        self.groups.remove(&exchange);
-    }
-
-    /// Forgets what is known of an exchange that is gone for good.
-    pub fn forget_exchange(&mut self, exchange: ExchangeId) {
-        self.directory.drop_gone(exchange);
-        self.groups.remove(&exchange);
-    }
-
     // -----------------------------------------------------------------------------------------------------
     // From the journal and the deadlines
     // -----------------------------------------------------------------------------------------------------
@@ -771,49 +607,6 @@
         self.forget(now, id, true);
     }
 
-    fn send(&mut self, now: Nanos, handle: CallId, to: ExchangeId, timeout: Nanos) {
-        let Some(id) = self.ids.get(&handle).copied() else { return };
-        let machine = self.directory.machine(to).map(|m| (m.number, m.standing));
-        let Some(call) = self.table.get_mut(&id) else { return };
-        let attempt = call.attempts;
-        call.attempts += 1;
-        let (number, standing) = machine.unwrap_or((u32::MAX, Standing::Gone));
-        let allowed = call.owed
-            && call.out.is_none()
-            && attempt < self.set.max_attempts
-            && now >= call.not_before
-            && now < call.deadline
-            && standing == Standing::Up
-            && Some(number) != self.set.home
-            && (!call.transit || number == call.destination);
-        if !allowed {
-            self.counters.up("errors attempts not allowed");
-            return self.later.push_back(Event::Ended {
-                call: handle,
-                attempt,
-                exchange: to,
-                outcome: Outcome::NotSent,
-                cause: Cause::Untold,
-                took: 0,
-                settled: !call.owed,
-                report: Report::default(),
-            });
-        }
-        tracing::debug!(call = format_args!("{id:016x}"), attempt, exchange = to, "attempt");
-        let until = now.saturating_add(timeout).min(call.deadline);
-        call.out = Some(Out { exchange: to, attempt, sent: now });
-        let say = ToExchange::SetUp {
-            attempt,
-            wait: until - now,
-            class: self.told.classes[call.class].clone().into_bytes(),
-            number: call.number.clone(),
-            description: call.description.clone(),
-        };
-        self.counters.up("sent set-ups");
-        self.deadlines.add(until, Due::Attempt(id, handle, attempt));
-        self.say_exchange(to, id, say);
-    }
-
     // -----------------------------------------------------------------------------------------------------
     // Ends
     // -----------------------------------------------------------------------------------------------------
@@ -839,46 +632,6 @@
         Some(handle)
     }
 
-    /// Gives up the attempt that is out, if there is one.
-    fn give_up(&mut self, now: Nanos, id: u64, outcome: Outcome) {
-        let Some(out) = self.table.get(&id).and_then(|c| c.out) else { return };
-        self.counters.up("sent set-ups given up");
-        self.say_exchange(out.exchange, id, ToExchange::GiveUp { attempt: out.attempt });
-        self.ended(now, id, out, (outcome, Cause::Untold, Report::default()));
-    }
-
-    fn ended(&mut self, now: Nanos, id: u64, out: Out, how: (Outcome, Cause, Report)) {
-        let (outcome, cause, report) = how;
-        let (call, attempt, exchange) = (format_args!("{id:016x}"), out.attempt, out.exchange);
-        tracing::debug!(call, attempt, exchange, ?outcome, ?cause, "attempt ended");
-        self.counters.up("taken endings");
-        let Some(call) = self.table.get_mut(&id) else { return };
-        call.out = None;
-        if matches!(outcome, Outcome::TimedOut | Outcome::Cut | Outcome::CalledOff) {
-            call.not_before = now + self.set.release;
-        }
-        self.later.push_back(Event::Ended {
-            call: call.handle,
-            attempt: out.attempt,
-            exchange: out.exchange,
-            outcome,
-            cause,
-            took: now - out.sent,
-            settled: !call.owed,
-            report,
-        });
-    }
-
-    fn over_standing(&mut self, now: Nanos, id: u64, outcome: Outcome) {
-        let Some(call) = self.table.get(&id) else { return };
-        let Some(stood) = call.stands else { return };
-        if let (Some(meter), Outcome::Completed) = (&mut self.meter, outcome) {
-            meter.held(call.class, unix_ms(now - call.stood_at));
-        }
-        self.ended(now, id, stood, (outcome, Cause::Untold, Report::default()));
-        self.forget(now, id, true);
-    }
-
     fn forget(&mut self, now: Nanos, id: u64, for_good: bool) {
         if let Some(call) = self.table.remove(&id) {
             if let (Some(meter), None) = (&mut self.meter, call.stands) {
--- a/dillhold/src/engine/failure_detector.rs
+++ b/dillhold/src/engine/failure_detector.rs
@@ -56,7 +56,10 @@
 
     /// Bytes came on a connection that came up at `up_at`, and nothing had been asked there.
     pub fn heard_unasked(&mut self, now: Nanos, up_at: Nanos) {
-        self.greets |= now < up_at + GREETING_WITHIN;
+        if !self.greets && now < up_at + GREETING_WITHIN {
+            tracing::debug!("exchange greets new connections");
+            self.greets = true;
+        }
         self.heard(now);
     }
 
