--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -17,6 +17,7 @@
 
 mod callers;
 mod close_reason;
+mod discovery;
 mod exchanges;
 mod failure_detector;
 mod journal;
@@ -466,7 +467,7 @@
             Peer::Journal(_) => {
                 tracing::warn!(conn = token, connect_failed, "journal connection lost");
                 self.calls.counters.up("errors journal connections lost");
-                self.journal_lost();
+                self.journal_lost(connect_failed);
             }
             Peer::Exchange(id) => {
                 tracing::warn!(
