Keep what an exchange hears at its return within one burst; allow for old group states

Cause: up to 4,096 releases were said again on a new connection, and one for which 256 KiB wait is closed: an exchange that was cut off with many calls might never have heard of them. A group state may be up to a second old, so calls younger than that must not count against it. Found on reading the change again. Change: 1,024 releases are kept; calls count as lost only if they stood a second before the connection came up.

--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -16,6 +16,8 @@
 /// The same, until the comparison is exact: releases wait in line at a busy exchange, behind the circuits that they
 /// free.
 const COMPARE_EXACTLY_AFTER: Nanos = 3_000 * MS;
+/// The state of a group may have left the exchange so long ago: younger calls need not be in it.
+const REPORT_LAG: Nanos = 1_000 * MS;
 /// An exchange that has not told the state of its group so long after it could be reached again does not tell it.
 const TOLD_WITHIN: Nanos = 2_000 * MS;
 
@@ -180,7 +182,8 @@
         if self.now < group.at + COMPARE_AFTER {
             return self.calls.deadlines.add(group.at + COMPARE_AFTER, due);
         }
-        let standing = f64::from(self.calls.circuits_of_standing(id, since));
+        let counted_before = since.saturating_sub(REPORT_LAG);
+        let standing = f64::from(self.calls.circuits_of_standing(id, counted_before));
         let exact = self.now >= group.at + COMPARE_EXACTLY_AFTER;
         if !exact && group.in_use < standing {
             self.calls.deadlines.add(group.at + COMPARE_EXACTLY_AFTER, due);
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -13,8 +13,9 @@
 
 /// Bytes that wait for an exchange at the most; past that its set-ups are not sent.
 const WAITING: usize = 128 * 1024;
-/// Releases not yet heard that are kept; the oldest goes first.
-const UNHEARD_KEPT: usize = 4096;
+/// Releases not yet heard that are kept; the oldest goes first. All are said again at once on a new connection, which
+/// is closed when more than 256 KiB wait there.
+const UNHEARD_KEPT: usize = 1024;
 
 /// The state of one link.
 #[derive(Debug, Default)]
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -525,6 +525,7 @@
             stand(&mut bench, caller, exchange, id);
         }
         bench.comes(exchange, &notify(0));
+        bench.wait(1_100 * MS);
         bench.turn(|e| e.lost(exchange));
         bench.wait(300 * MS);
         if dial_fails {
@@ -542,6 +543,26 @@
     }
 }
 
+/// All releases that were not heard are said again on a new connection, and it was once closed for holding too many.
+#[test]
+fn an_exchange_that_was_cut_off_hears_of_all_its_calls_when_it_is_back() {
+    const CALLS: u64 = 1_024;
+    let mut bench = Bench::new();
+    let (exchange, caller) = (bench.up(1), bench.caller());
+    for id in 1..=CALLS {
+        bench.set_up(caller, id);
+        bench.comes(exchange, &ok(id));
+    }
+    bench.wait(8_000 * MS);
+    let again = bench.up(1);
+    bench.wait(10 * MS);
+    assert!(!bench.closed(again));
+    let said = bench.said(again);
+    let byes = said.windows(4).filter(|w| w == b"BYE ").count();
+    assert_eq!(byes as u64, CALLS);
+    assert!(said.len() <= 256 * 1024, "{} bytes at once", said.len());
+}
+
 #[test]
 fn the_same_feed_gives_the_same_bytes() {
     let play = || {
