--- a/rehearsal/tests/soak.rs
+++ b/rehearsal/tests/soak.rs
@@ -6,8 +6,9 @@
 use rehearsal::script::Script;
 use rehearsal::soak::{plan, play, Asked, Soak};
 
-/// Seeds that CI plays, all at once: shutdowns one after another, discovery down, cuts, bad callers.
-const SEEDS: std::ops::RangeInclusive<u64> = 6..=9;
+/// Seeds that CI plays, all at once. On the release of incident f7b4cc the first two leave set-ups without an answer at
+/// shutdowns, and in the others callers of vanished exchanges are told too late.
+const SEEDS: [u64; 4] = [2, 21, 41, 300];
 
 /// The controller's program, as the workspace's build puts it beside its tests.
 fn dillhold() -> PathBuf {
@@ -25,10 +26,10 @@
 #[test]
 fn fixed_seeds_keep_every_rule() {
     let plans = SEEDS.map(|seed| (seed, Script::parse("plan", &plan::draw(seed)).unwrap()));
-    let soak = soak(plans.collect(), dillhold());
+    let soak = soak(plans.to_vec(), dillhold());
     println!("runs in which this machine was late, which prove nothing: {:?}", soak.late);
     assert!(!soak.failed(), "{:#?}", soak.breaches.first());
-    assert_eq!((soak.runs, soak.crashes), (SEEDS.count(), 0));
+    assert_eq!((soak.runs, soak.crashes), (SEEDS.len(), 0));
     assert_eq!(soak.rules_broken.len(), Rule::ALL.len(), "those that were kept are named too");
 }
 
