Review case 3: second copies of any answer, not only of errors

Change: every third answer of every exchange comes twice; the stand-in exchange repeats unheard releases on its next connection.

--- a/review/3/play.py
+++ b/review/3/play.py
@@ -12,63 +12,55 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common"))
 from standins import Caller, main, new_id  # noqa
 
-CALLS = 18
+CALLS = 40
+ONE_ANSWER_IN = 3  # "some" answers come twice, from any exchange alike
 SECOND_COPY_AFTER = 0.010  # "some milliseconds late"
 SET_UP_SECONDS = 0.06
 
 
 def play(record, deployment, trouble):
-    exchange = deployment.exchanges[1]
-    attempts, numbers, broken, copies = {}, {}, [], [0]
+    failing_exchange = deployment.exchanges[1]
+    attempts, broken, answers = {}, [], {"given": 0, "copied": 0}
+    lock = threading.Lock()
 
-    def watch(connection, call_id, cseq, message):
-        """Called for each INVITE at any exchange, before it is dealt with."""
+    def on_invite(connection, call_id, cseq, message):
+        exchange = connection.exchange
         for other in deployment.exchanges.values():
             with other.lock:
-                out = call_id in other.pending
-                stands = call_id in other.standing
+                out, stands = call_id in other.pending, call_id in other.standing
             if out or stands:
-                text = (f"INVITE {call_id:016x} CSeq {cseq} arrived at {connection.exchange.name} while an earlier "
-                        f"attempt of this call {'was out' if out else 'stood'} at {other.name}")
+                text = (f"INVITE {call_id:016x} CSeq {cseq} arrived at {exchange.name} while an earlier attempt of "
+                        f"this call {'was out' if out else 'stood'} at {other.name}")
                 record.add("check", text)
                 broken.append(text)
-
-    def failing(connection, call_id, cseq, message):
-        watch(connection, call_id, cseq, message)
         attempts[call_id] = attempts.get(call_id, 0) + 1
-        if attempts[call_id] > 1:
-            connection.exchange.answer_later(connection, call_id, cseq, message["body"], SET_UP_SECONDS)
-            return True
-        record.add(exchange.name, f"500 to INVITE {call_id:016x} CSeq {cseq}")
-        connection.respond(call_id, cseq, 500, "Error")
-        if trouble and numbers[call_id] % 3 == 2:
-            def second_copy():
-                record.add(exchange.name, f"500 to INVITE {call_id:016x} CSeq {cseq}, second copy")
-                connection.respond(call_id, cseq, 500, "Error")
-
-            copies[0] += 1
-            timer = threading.Timer(SECOND_COPY_AFTER, second_copy)
-            timer.daemon = True
-            timer.start()
+        if exchange is failing_exchange and attempts[call_id] == 1:
+            record.add(exchange.name, f"500 to INVITE {call_id:016x} CSeq {cseq}")
+            connection.respond(call_id, cseq, 500, "Error")
+        else:
+            exchange.answer_later(connection, call_id, cseq, message["body"], SET_UP_SECONDS)
         return True
 
-    def sound(connection, call_id, cseq, message):
-        watch(connection, call_id, cseq, message)
-        return False
+    def copies_answer(call_id, code):
+        with lock:
+            answers["given"] += 1
+            if not trouble or answers["given"] % ONE_ANSWER_IN:
+                return None
+            answers["copied"] += 1
+            return SECOND_COPY_AFTER
 
-    for other in deployment.exchanges.values():
-        other.on_invite = failing if other is exchange else sound
+    for exchange in deployment.exchanges.values():
+        exchange.on_invite, exchange.copies_answer = on_invite, copies_answer
 
     callers = Caller(record, deployment.controller.port)
     for n in range(CALLS):
         call_id = new_id()
-        numbers[call_id] = n
-        callers.set_up(call_id, exchange.number)
+        callers.set_up(call_id, (1, 2, 1, 3, 4)[n % 5])
         callers.final_answer(call_id, 4)
         time.sleep(0.15)
     time.sleep(0.5)
-    record.add("check", f"{CALLS} calls, {sum(attempts.values())} INVITEs at {exchange.name}, {copies[0]} second "
-               f"copies, {len(broken)} times two attempts out at once")
+    record.add("check", f"{CALLS} calls, {sum(attempts.values())} INVITEs, {answers['given']} answers, "
+               f"{answers['copied']} of them twice; {len(broken)} times two attempts out at once")
     return broken
 
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -107,7 +107,21 @@
             return False
 
     def respond(self, call_id, cseq, code, reason="", headers="", body=b""):
-        return self.send(f"SIP/2.0 {code} {reason or 'No'}", call_id, cseq, headers, body)
+        """Answers a request. `exchange.copies_answer` tells after how many seconds an answer to a set-up comes a second
+        time; None: it does not."""
+        answer = (f"SIP/2.0 {code} {reason or 'No'}", call_id, cseq, headers, body)
+        sent = self.send(*answer)
+        copies = self.exchange.copies_answer
+        after = copies(call_id, code) if copies and cseq.endswith("INVITE") else None
+        if after is not None:
+            def second_copy():
+                self.exchange.record.add(self.exchange.name, f"{code} to INVITE {call_id:016x} CSeq {cseq}, second copy")
+                self.send(*answer)
+
+            timer = threading.Timer(after, second_copy)
+            timer.daemon = True
+            timer.start()
+        return sent
 
 
 class Exchange:
@@ -126,8 +140,9 @@
         self.standing = {}  # call id -> connection of its set-up
         self.released_by_controller = {}  # call id -> time and cause
         self.released_by_exchange = {}
+        self.unheard_releases = {}  # call id -> cause, until the call controller has answered the BYE
         self.invites = []  # time, call id, CSeq number
-        self.on_invite = None
+        self.on_invite = self.copies_answer = None
         self.running = True
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -145,8 +160,12 @@
                 self.connection_count += 1
                 connection = SipConnection(self, sock, self.connection_count)
                 self.connections.append(connection)
+                unheard = list(self.unheard_releases.items())
             self.record.add(self.name, f"connection {connection.number} opened")
             self.notify(connection)
+            for call_id, cause in unheard:  # "it also sends its release on the next connection that is opened"
+                self.record.add(self.name, f"BYE {call_id:016x} cause {cause} again, on connection {connection.number}")
+                connection.send("BYE sip:call@net SIP/2.0", call_id, "2000 BYE", f"Reason: Q.850;cause={cause}\r\n")
             threading.Thread(target=self.read, args=(connection,), daemon=True).start()
 
     def notify(self, connection):
@@ -223,6 +242,9 @@
                 self.notify_all()
         elif method == "OPTIONS":
             connection.respond(call_id, cseq, 200, "OK")
+        elif method == "SIP/2.0" and cseq.endswith("BYE"):
+            with self.lock:
+                self.unheard_releases.pop(call_id, None)
         elif method == "ACK":
             self.record.add(self.name, f"ACK {call_id:016x} CSeq {cseq}")
 
@@ -249,6 +271,7 @@
         time of the BYE, or None if no connection is open."""
         with self.lock:
             connection = self.standing.pop(call_id)
+            self.unheard_releases[call_id] = cause
             if not connection.open:
                 connection = next((c for c in reversed(self.connections) if c.open), None)
         sent = connection is not None and connection.send(
