--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -248,7 +248,8 @@
         elif method == "ACK":
             self.record.add(self.name, f"ACK {call_id:016x} CSeq {cseq}")
 
-    def answer_later(self, connection, call_id, cseq, offer, seconds):
+    def answer_later(self, connection, call_id, cseq, offer, seconds, error=None):
+        """Answers a set-up after some time: the call stands, or with `error`, a status of 4xx or 5xx, it does not."""
         with self.lock:
             self.pending[call_id] = connection
         self.notify_all()
@@ -258,7 +259,12 @@
                 if not self.running or self.pending.get(call_id) is not connection or not connection.open:
                     return
                 del self.pending[call_id]
-                self.standing[call_id] = connection
+                if not error:
+                    self.standing[call_id] = connection
+            if error:
+                self.record.add(self.name, f"{error} to INVITE {call_id:016x} CSeq {cseq}")
+                connection.respond(call_id, cseq, error, "Error")
+                return self.notify_all()
             self.record.add(self.name, f"200 to INVITE {call_id:016x} CSeq {cseq}: the call stands here")
             connection.respond(call_id, cseq, 200, "OK", body=b"answer of " + self.name.encode() + b"\r\n" + offer)
 
