--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -601,6 +601,12 @@
     `play(record, deployment, trouble)` returns the broken rules, as texts."""
     record, deployment, status = Record(), None, 2
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    def ended(number, _):
+        raise CannotRun(f"ended by {signal.Signals(number).name}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     record.add("script", "with the disruption" if trouble else "TROUBLE=0: without the disruption")
     try:
         deployment = Deployment(record, **limits)
