Review: no process is left when a script is killed, and none runs over 100 s

Need: a script killed by SIGKILL left its call controller running, a script that hangs had no limit of time, and a missing build left a temporary folder. Change: the system kills the call controller with its script; an alarm ends a script after 100 s with status 2; the build is looked for first. No check, bound or step of a case changed.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -3,6 +3,7 @@
 
 Everything that is sent, answered and run is recorded with its time (seconds since the start of the script).
 """
+import ctypes
 import json
 import os
 import random
@@ -20,6 +21,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 SET_UP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, TEST, TEST_RESULT = 1, 6, 9, 12, 16, 52, 53
 CLASS, TIMEOUT_MS, NUMBER, FIGURES, RETRY_AFTER, CAUSE, DESCRIPTION = 100, 101, 104, 105, 106, 114, 115
+SCRIPT_SECONDS = 100  # a script that takes longer gives no verdict and ends; the longest takes 31 s
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
 KIND_NAMES = {1: "set-up", 9: "answer", 12: "release", 16: "release heard", 52: "test", 53: "test result"}
 
 
@@ -27,6 +31,11 @@
     """The case could not be played."""
 
 
+def end_with_the_script():
+    """Run in a new process: the system kills it when the script ends, however that happens."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Record:
     """The log of one run."""
 
@@ -501,13 +510,13 @@
     def __init__(self, record, journal, exchange_count, memory_mb=64, sockets=1024):
         self.record, self.journal, self.exchange_count = record, journal, exchange_count
         self.limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
+        if not os.path.exists(os.path.join(ROOT, "target", "release", "dillhold")):
+            raise CannotRun("target/release/dillhold is not built")
         self.port = free_port()
         self.folder = tempfile.mkdtemp(prefix="dillhold-review-")
         self.config = os.path.join(self.folder, "config.json")
         with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as deploy:
             self.command = re.search(r'^run = "(.*)"$', deploy.read(), re.M).group(1)
-        if not os.path.exists(os.path.join(ROOT, "target", "release", "dillhold")):
-            raise CannotRun("target/release/dillhold is not built")
         self.process, self.errors = None, open(os.path.join(self.folder, "errors"), "wb")
         self.write_config()
 
@@ -528,7 +537,8 @@
         environment = dict(os.environ, EDGE_CONFIG=self.config, EDGE_NAME="n0",
                            EDGE_LISTEN=f"127.0.0.1:{self.port}", TMPDIR=private)
         self.process = subprocess.Popen(["/bin/sh", "-c", self.command], cwd=ROOT, env=environment,
-                                        stdin=subprocess.DEVNULL, stdout=self.errors, stderr=self.errors)
+                                        stdin=subprocess.DEVNULL, stdout=self.errors, stderr=self.errors,
+                                        preexec_fn=end_with_the_script)
         self.record.add("platform", "call controller started")
         wait_until = time.time() + 30
         while time.time() < wait_until:
@@ -602,11 +612,15 @@
     record, deployment, status = Record(), None, 2
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
+    ends = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM)
+
     def ended(number, _):
-        raise CannotRun(f"ended by {signal.Signals(number).name}")
+        raise CannotRun(f"not over after {SCRIPT_SECONDS} s" if number == signal.SIGALRM
+                        else f"ended by {signal.Signals(number).name}")
 
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for number in ends:
         signal.signal(number, ended)
+    signal.alarm(SCRIPT_SECONDS)
     record.add("script", "with the disruption" if trouble else "TROUBLE=0: without the disruption")
     try:
         deployment = Deployment(record, **limits)
@@ -620,6 +634,8 @@
     except Exception as error:  # anything unexpected is no verdict
         record.add("script", f"could not run: {type(error).__name__}: {error}")
     finally:
+        for number in ends:
+            signal.signal(number, signal.SIG_IGN)
         if deployment:
             deployment.stop()
         record.add("script", {0: "the rule held", 1: "the rule was broken", 2: "no verdict"}[status])
