End the deadlines and timers of a set-up with its final answer

Cause: each set-up left two deadlines behind, the table's for the final answer and the decision module's timer, until the time that it stated (18 s at most), whatever became of it. The module kept the times once more to detect its own pauses.

Evidence: the tables' sizes are printed with the counters now (lines "size NAME N").

Change: a deadline names its owner, a set-up or a connection. All deadlines of a set-up are dropped where it is marked as answered, those of a connection where it is removed; a connection has one of each kind. 14 handlers of deadlines checked for themselves before, and none removed anything. The module detects pauses with one timer of its own in place of the calls' timers. The test harness drops the timers of ended calls as the host does now, which is harder for the tests of pauses.

--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -3,6 +3,8 @@
 
 use pitchgw::interface::{CallId, Cause, ExchangeId, LoadReport, Nanos, Outcome};
 
+use crate::deadlines::Owned;
+
 /// Identifies a connection from callers. Ids are never reused.
 pub type CallerConnId = u64;
 
@@ -179,6 +181,30 @@
     Engine(EngineDeadline),
 }
 
+/// What a deadline belongs to. When that ends, the deadline has no purpose any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DeadlineOwner {
+    /// A set-up, until its final answer is given; holds the call's handle.
+    SetUp(CallId),
+    /// A connection.
+    Connection(u64),
+}
+
+impl Owned for Deadline {
+    type Owner = DeadlineOwner;
+
+    fn owner(&self) -> Option<DeadlineOwner> {
+        match self {
+            // The token of a call's timer is its handle. Other tokens are those of no set-up.
+            Deadline::ModuleTimer(handle)
+            | Deadline::AttemptTimeout(_, handle, _)
+            | Deadline::FinalAnswer(_, handle) => Some(DeadlineOwner::SetUp(*handle)),
+            Deadline::Engine(deadline) => deadline.connection().map(DeadlineOwner::Connection),
+            Deadline::MachineEnded(_) | Deadline::IntervalEnd | Deadline::ForgetEndedCalls => None,
+        }
+    }
+}
+
 /// What the engine has to do when a deadline expires. A `u64` is the id of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EngineDeadline {
@@ -216,3 +242,25 @@
     /// Shutdown: exit although set-ups or calls are left.
     ForcedExit,
 }
+
+impl EngineDeadline {
+    /// The connection that the deadline is about.
+    fn connection(&self) -> Option<u64> {
+        match self {
+            EngineDeadline::ConnectTimeout(conn)
+            | EngineDeadline::IncompleteMessage(_, conn)
+            | EngineDeadline::ReplyTimeout(_, conn)
+            | EngineDeadline::JournalTimeout(conn)
+            | EngineDeadline::CallerCheck(conn)
+            | EngineDeadline::WriteShutdownTimeout(conn) => Some(*conn),
+            EngineDeadline::Reconnect(_)
+            | EngineDeadline::LivenessCheck(_)
+            | EngineDeadline::CompareCircuits { .. }
+            | EngineDeadline::PollJournal
+            | EngineDeadline::DeliverReleases
+            | EngineDeadline::StopListening
+            | EngineDeadline::CloseUnused
+            | EngineDeadline::ForcedExit => None,
+        }
+    }
+}
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -247,7 +247,7 @@
         }
         open.sort_unstable();
         for (id, handle) in open {
-            self.deadlines.add(fail_at, Deadline::FinalAnswer(id, handle));
+            self.deadlines.replace(fail_at, Deadline::FinalAnswer(id, handle));
         }
     }
 
@@ -266,6 +266,22 @@
         self.open_set_ups
     }
 
+    /// Sizes of the tables that grow with traffic, by name.
+    pub fn table_sizes(&self) -> Vec<(&'static str, usize)> {
+        let module = self.decision_module.table_sizes();
+        vec![
+            ("deadlines", self.deadlines.len()),
+            ("open set-ups", self.open_set_ups),
+            ("standing calls", self.calls_by_id.len() - self.open_set_ups),
+            ("ended calls", self.ended_calls.len()),
+            ("dialled numbers", self.number_handles.len()),
+            ("calls in the module", module.calls),
+            ("routes in the module", module.routes),
+            ("destinations in the module", module.destinations),
+            ("dialled numbers in the module", module.dialled_numbers),
+        ]
+    }
+
     /// Whether a set-up that came on this connection awaits a final answer.
     pub fn has_open_set_ups(&self, conn: CallerConnId) -> bool {
         self.calls_by_connection.get(&conn).is_some_and(|calls| !calls.open_set_ups.is_empty())
@@ -702,13 +718,15 @@
         self.commands.push_back(Command::RequestExchange { to, call_id, request });
     }
 
-    /// Marks a call as no longer awaiting a final answer. Returns its handle if it did until now.
+    /// Marks a call as no longer awaiting a final answer: every deadline of its set-up ends here. Returns its handle if
+    /// it did until now.
     fn mark_final_answer_given(&mut self, id: u64) -> Option<CallId> {
         let call = self.calls_by_id.get_mut(&id).filter(|c| c.awaits_final_answer)?;
         call.awaits_final_answer = false;
         let (conn, handle) = (call.caller_conn, call.handle);
         self.open_set_ups -= 1;
         self.open_bytes -= call.set_up_bytes;
+        self.deadlines.drop_owned_by(DeadlineOwner::SetUp(handle));
         self.update_connection(conn, |calls| {
             calls.open_set_ups.remove(&id);
         });
--- a/dillhold/src/call/recent.rs
+++ b/dillhold/src/call/recent.rs
@@ -54,6 +54,11 @@
         self.retired_by_id.get(&call_id).is_some_and(|retired| *retired)
     }
 
+    /// Number of calls that are remembered.
+    pub fn len(&self) -> usize {
+        self.by_age.len()
+    }
+
     /// When the oldest entry expires.
     pub fn next_expiry(&self) -> Option<Nanos> {
         self.by_age.front().map(|(ended_at, _)| ended_at + ENDED_CALL_RETENTION)
@@ -94,6 +99,11 @@
         }
     }
 
+    /// Number of numbers that are kept.
+    pub fn len(&self) -> usize {
+        self.current.len() + self.previous.len()
+    }
+
     /// The handle of a number; assigns a new one to an unknown number.
     pub fn handle(&mut self, now: Nanos, number: &[u8]) -> NumberId {
         if now >= self.period_start + self.period || self.current.len() >= self.max_per_period {
--- a/dillhold/src/counters.rs
+++ b/dillhold/src/counters.rs
@@ -1,4 +1,4 @@
-//! Counters of received, sent and answered messages, and of errors by kind.
+//! Counters of received, sent and answered messages, and of errors by kind; sizes of the tables that grow with traffic.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -24,3 +24,13 @@
         self.0.iter().try_for_each(|(name, count)| writeln!(f, "counter {name} {count}"))
     }
 }
+
+/// Present sizes of the tables, by name. A table that goes on growing while the others do not is where memory goes.
+#[derive(Debug)]
+pub struct TableSizes(pub Vec<(&'static str, usize)>);
+
+impl fmt::Display for TableSizes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|(name, size)| writeln!(f, "size {name} {size}"))
+    }
+}
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -153,7 +153,7 @@
         let incomplete_before = link.session.incomplete_since;
         let readable = link.session.process_input(self.now, id, &mut self.calls).is_ok();
         if link.session.incomplete_since.is_some() && link.session.incomplete_since != incomplete_before {
-            self.calls.deadlines.add(
+            self.calls.deadlines.replace(
                 self.now + INCOMPLETE_EXCHANGE_MESSAGE_TIMEOUT,
                 Deadline::Engine(EngineDeadline::IncompleteMessage(id, conn_id)),
             );
@@ -199,7 +199,7 @@
         if let (Some(conn_id), None) = (link.conn, link.awaiting_reply_since) {
             link.awaiting_reply_since = Some(self.now);
             let deadline = Deadline::Engine(EngineDeadline::ReplyTimeout(id, conn_id));
-            self.calls.deadlines.add(self.now + (REPLY_TIMEOUT << link.silent_connections), deadline);
+            self.calls.deadlines.replace(self.now + (REPLY_TIMEOUT << link.silent_connections), deadline);
         }
     }
 
--- a/dillhold/src/engine/journal.rs
+++ b/dillhold/src/engine/journal.rs
@@ -40,7 +40,7 @@
         journal.send_poll(position, address);
         self.needs_flush.insert(conn_id);
         let overdue_at = self.journal_client.poll.request_sent(self.now);
-        self.calls.deadlines.add(overdue_at, Deadline::Engine(EngineDeadline::JournalTimeout(conn_id)));
+        self.calls.deadlines.replace(overdue_at, Deadline::Engine(EngineDeadline::JournalTimeout(conn_id)));
     }
 
     pub(super) fn handle_journal_answer(&mut self, answer: directory::JournalAnswer, keep_connection: bool) {
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -34,9 +34,11 @@
 use measured::record::Interval;
 use pitchgw::interface::{ExchangeId, Nanos};
 
-use crate::call::{AttemptProgress, CallerNotification, Calls, Command, Deadline, EngineDeadline};
+use crate::call::{
+    AttemptProgress, CallerNotification, Calls, Command, Deadline, DeadlineOwner, EngineDeadline,
+};
 use crate::clock::MS;
-use crate::counters::Counters;
+use crate::counters::{Counters, TableSizes};
 use crate::directory::{Bounds, Config, ControllerSettings, Directory};
 use crate::session::caller::CallerSession;
 use crate::session::journal::JournalSession;
@@ -258,6 +260,17 @@
         &self.calls.counters
     }
 
+    /// Sizes of the tables that grow with traffic.
+    pub fn table_sizes(&self) -> TableSizes {
+        let mut sizes = self.calls.table_sizes();
+        sizes.extend([
+            ("connections", self.conns.len()),
+            ("connections of callers", self.callers.count),
+            ("bytes of buffers", self.buffer_bytes),
+        ]);
+        TableSizes(sizes)
+    }
+
     /// Counts a socket error.
     pub fn count_error(&mut self, name: &'static str) {
         self.calls.counters.increment(name);
@@ -506,6 +519,7 @@
         let conn = self.conns.remove(&conn_id)?;
         self.buffer_bytes -= conn.buffer_bytes;
         self.needs_flush.remove(&conn_id);
+        self.calls.deadlines.drop_owned_by(DeadlineOwner::Connection(conn_id));
         self.outputs.push_back(Output::Close(conn_id));
         Some(conn)
     }
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -181,7 +181,7 @@
     }
 
     fn print_counters(&self) {
-        eprint!("{}", self.engine.counters());
+        eprint!("{}{}", self.engine.table_sizes(), self.engine.counters());
     }
 
     fn run_turn(&mut self, events: &mut Vec<epoll::Event>) -> Result<(), String> {
--- a/dillhold/tests/calls.rs
+++ b/dillhold/tests/calls.rs
@@ -352,3 +352,36 @@
     calls.handle_exchange_event(START + 2 * MS, 0, ExchangeEvent::Released { call_id: 1, cause: 16 });
     assert_eq!(notified(&mut calls), vec![CallerNotification::Released(16)]);
 }
+
+/// Guards against memory that grows with every set-up sent: a set-up refused at once, taken back or answered once left
+/// its deadlines and the timers of the decision module behind until the time that it stated, 18 s at most.
+#[test]
+fn deadlines_end_with_the_final_answer_of_their_set_up() {
+    let mut calls = new_table();
+    let long_wait = |call_id| SetUp { call_id, timeout: 18_000 * MS, ..set_up_request(false) };
+    let request = |calls: &mut Calls, set_up: SetUp<'_>| {
+        calls.handle_caller_request(START, 7, CallerRequest::SetUp(set_up));
+        calls.dispatch_queued_events(START);
+    };
+    request(&mut calls, long_wait(1));
+    let with_one_open = calls.deadlines.len();
+    for call_id in 1_000..3_000 {
+        request(&mut calls, SetUp { destination: 4_000_000, ..long_wait(call_id) });
+    }
+    assert_eq!(calls.open_set_ups(), 1, "no such exchange: refused at once");
+    let _ = calls.commands.drain(..);
+    for call_id in 3_000..5_000 {
+        request(&mut calls, long_wait(call_id));
+        calls.handle_caller_request(START, 7, CallerRequest::Release { call_id, cause: 16 });
+        calls.dispatch_queued_events(START);
+    }
+    for call_id in 5_000..7_000 {
+        request(&mut calls, long_wait(call_id));
+        let answer = ExchangeEvent::Answered { call_id, description: b"" };
+        calls.handle_exchange_event(START, 0, answer);
+        calls.dispatch_queued_events(START);
+    }
+    assert_eq!(calls.open_set_ups(), 1);
+    // One for the ids of ended calls, which are discarded together.
+    assert_eq!(calls.deadlines.len(), with_one_open + 1);
+}
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -604,3 +604,44 @@
     };
     assert_eq!(run(), run());
 }
+
+fn deadline_count(harness: &EngineHarness) -> usize {
+    let sizes = harness.engine.table_sizes().0;
+    sizes.iter().find(|(name, _)| *name == "deadlines").expect("the size of the queue").1
+}
+
+/// Guards against memory that grows with every connection made: the first check of a connection stayed among the
+/// deadlines after its connection was closed.
+#[test]
+fn deadlines_end_with_their_connection() {
+    let mut harness = EngineHarness::new();
+    let at_first = deadline_count(&harness);
+    for _ in 0..1_000 {
+        let caller = harness.accept_caller();
+        harness.run_turn(|e| e.connection_lost(caller));
+    }
+    assert_eq!(deadline_count(&harness), at_first);
+}
+
+/// Guards against a queue that grows with every message of an exchange: each set-up after a reply added a reply timeout,
+/// and each message in pieces a timeout for its rest.
+#[test]
+fn connection_has_one_deadline_of_each_kind() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    let mut highest = Vec::new();
+    for first_id in [1_000, 2_000] {
+        for id in first_id..first_id + 50 {
+            harness.receive_set_up(caller, id);
+            let report = group_report(20);
+            harness.receive(exchange, &report[..report.len() / 2]);
+            harness.receive(exchange, &report[report.len() / 2..]);
+            let taken_back = [(114, &[16u8][..])];
+            let mut bytes = Vec::new();
+            binary::write(&mut bytes, binary::kind::RELEASE, id, &taken_back);
+            harness.receive(caller, &bytes);
+        }
+        highest.push(deadline_count(&harness));
+    }
+    assert_eq!(highest[0], highest[1]);
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -13,6 +13,7 @@
 use rand_core::{RngCore, SeedableRng};
 
 use crate::interface::*;
+use crate::pause_detector::PauseDetector;
 
 /// Capacity of the route table per listed machine. When the table is full, the less recently used half is
 /// evicted, except routes with pending set-ups.
@@ -40,8 +41,6 @@
 const INITIAL_TIME_PER_PENDING_TARGETS: f64 = 0.1;
 /// Smoothing factor of the shares: tandem set-ups accepted, and set-ups that fail without a stated cause.
 const SHARE_SMOOTHING: f64 = 0.05;
-/// A timer overdue by more than this shows that this process itself was paused.
-const PAUSE_DETECTION_SECS: f64 = 0.1;
 /// Smoothing factor of the variance of prediction errors.
 const ERROR_VARIANCE_SMOOTHING: f64 = 0.05;
 /// Least standard deviation assumed for prediction errors, in targets of the call's class.
@@ -89,6 +88,8 @@
 const LIST_RETRY_SECS: f64 = 1.0;
 /// Timer token of the list request; the timers of calls use the call's id.
 const LIST_RETRY_TOKEN: u64 = u64::MAX;
+/// Timer token of the watch that detects pauses of this process.
+const PAUSE_WATCH_TOKEN: u64 = u64::MAX - 1;
 
 /// Cumulative distribution function of the standard normal distribution.
 fn normal_cdf(x: f64) -> f64 {
@@ -283,6 +284,19 @@
     next_backoff_secs: f64,
 }
 
+/// Number of entries of each table that grows with traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Calls that await a final answer or stand.
+    pub calls: usize,
+    /// Routes with a round trip or a pending set-up.
+    pub routes: usize,
+    /// Destinations that were called recently.
+    pub destinations: usize,
+    /// Dialled numbers that were not reached.
+    pub dialled_numbers: usize,
+}
+
 /// The decision module of one exchange.
 pub struct Controller {
     settings: Settings,
@@ -321,10 +335,7 @@
     peak_carried_rate: f64,
     carried_rate_updated_at: Nanos,
     list_requested: bool,
-    timers_due: BTreeSet<Nanos>,
-    /// Total time for which this process was paused.
-    total_pause: Nanos,
-    last_pause_ended_at: Nanos,
+    pauses: PauseDetector,
 }
 
 impl Controller {
@@ -359,9 +370,7 @@
             peak_carried_rate: 0.0,
             carried_rate_updated_at: 0,
             list_requested: false,
-            timers_due: BTreeSet::new(),
-            total_pause: 0,
-            last_pause_ended_at: 0,
+            pauses: PauseDetector::default(),
         })
     }
 
@@ -375,14 +384,7 @@
 
     /// Processes one event and appends the resulting actions to `actions`.
     pub fn handle_event(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
-        let (first_new, due) =
-            (actions.len(), self.timers_due.first().map_or(now, |earliest| now.min(*earliest)));
-        // Timers expire on time, so an overdue one shows that this process was paused since then.
-        if nanos_to_secs(now - due) > PAUSE_DETECTION_SECS {
-            self.total_pause += now - due;
-            self.last_pause_ended_at = now;
-        }
-        self.timers_due = self.timers_due.split_off(&(now + 1));
+        self.pauses.event_at(now);
         match event {
             Event::ListUpdated(kind, entries) => self.handle_list_update(now, kind, entries, actions),
             Event::CallOffered(request) => self.handle_call_offered(now, request, actions),
@@ -396,23 +398,35 @@
                 self.calls.entry(call).and_modify(|c| c.final_answer_given = true);
                 self.remove_if_ended(call);
             }
+            Event::TimerExpired(PAUSE_WATCH_TOKEN) => {
+                self.pauses.watch_expired();
+                self.watch_for_pauses(now, actions);
+            }
             Event::TimerExpired(LIST_RETRY_TOKEN) => self.request_list(actions),
             Event::TimerExpired(call) => self.advance_call(now, call, actions),
             Event::LoadReported { exchange, report, .. } => self.record_load_report(exchange, &report),
         }
-        let new_actions = actions[first_new..].iter();
-        self.timers_due.extend(new_actions.filter_map(|a| {
-            if let Action::SetTimer(_, at) = a {
-                Some(*at)
-            } else {
-                None
-            }
-        }));
+    }
+
+    /// Sizes of the tables, for the operator.
+    pub fn table_sizes(&self) -> TableSizes {
+        TableSizes {
+            calls: self.calls.len(),
+            routes: self.routes.len(),
+            destinations: self.destinations.len(),
+            dialled_numbers: self.dialled_numbers.len(),
+        }
+    }
+
+    fn watch_for_pauses(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        if let Some(at) = self.pauses.set_watch(now) {
+            actions.push(Action::SetTimer(PAUSE_WATCH_TOKEN, at));
+        }
     }
 
     /// Clock of the predictor. It excludes the pauses of this process, which are no delay of a route.
     fn predictor_time(&self, now: Nanos) -> Nanos {
-        now - self.total_pause
+        self.pauses.time_without_pauses(now)
     }
 
     fn record_load_report(&mut self, exchange: ExchangeId, report: &LoadReport) {
@@ -871,8 +885,10 @@
             attempted_exchanges: Vec::new(),
         };
         actions.push(Action::SetTimer(id, final_answer_by));
+        self.pauses.call_offered_at(now);
+        self.watch_for_pauses(now, actions);
         self.calls.insert(id, call);
-        if now == self.last_pause_ended_at {
+        if self.pauses.pause_ended_at(now) {
             // Part of the backlog of a pause, which may also hold list updates behind this call. Deciding by
             // timer puts the call after all events of this moment.
             return actions.push(Action::SetTimer(id, now));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -416,7 +416,8 @@
     },
     /// Final answer: failed.
     Fail(CallId),
-    /// Request an [`Event::TimerExpired`] with this token at this time.
+    /// Request an [`Event::TimerExpired`] with this token at this time. A token that is the id of a call is not wanted
+    /// any more once the call has its final answer or stands: the host may drop the timer or deliver it.
     SetTimer(u64, Nanos),
     /// Probe an exchange for a load report.
     Probe(ExchangeId),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod controller;
 pub mod interface;
+pub mod pause_detector;
 pub mod wire;
 
 pub use controller::Controller;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -98,6 +98,9 @@
     /// Delivers one event and returns the resulting actions.
     pub fn deliver(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        if let Event::CallStands { call, .. } | Event::CallerGaveUp(call) = event {
+            self.drop_timers(call);
+        }
         self.controller.handle_event(self.now, event, &mut actions);
         self.timers.extend(actions.iter().filter_map(|a| match a {
             Action::SetTimer(token, at) => Some((*at, *token)),
@@ -110,9 +113,19 @@
             }
             _ => None,
         }));
+        for action in &actions {
+            if let Action::Refuse { call, .. } | Action::Fail(call) = action {
+                self.drop_timers(*call);
+            }
+        }
         actions
     }
 
+    /// Drops the timers of a call, as the controller's host does once no final answer is due.
+    fn drop_timers(&mut self, call: CallId) {
+        self.timers.retain(|(_, token)| *token != call);
+    }
+
     /// Advances the clock; timers that become due expire on time.
     pub fn advance(&mut self, span: Nanos) {
         let until = self.now + span;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -337,7 +337,7 @@
         let mut harness = Harness::new(settings());
         harness.complete_round_trip(2, 100 * MS);
         harness.advance(10 * SEC);
-        // As in operation, timers of ended calls are still set, and one set-up is pending.
+        // As in operation, calls have come and ended, and one set-up is pending.
         for _ in 0..40 {
             harness.complete_round_trip(1, 100 * MS);
         }
