Tell callers of calls from before a start whatever they released themselves

Cause: nobody is confirmed as a caller at first, so such a release goes to connections that may have a caller, and a connection with one rejected message was none. The release of an unknown call counted as rejected: just what callers send after a restart. With the list empty, nothing was tried again.

Evidence: the exchange's BYE gets its 200 and counts among "taken releases of unknown calls", and the log has no line "release sent on other connections"; in the test below the caller that sent nothing bad is told, and the one that released such a call is not.

Change: a request says what it tells of its client (Conduct: sound, unknown release, bad), and one record per connection keeps it; reading on and who is likely a caller both follow from that, where one count of rejected messages served both. Releases wait in engine/release_delivery.rs and are sent on the likeliest connections first, every 400 ms on further ones. The same cause on related paths: more than 250 unknown releases on a connection, set-ups refused without entry and given up at once, progress, ids displaced by refused set-ups, and a caller's release lost with the connection to the exchange.

--- a/dillhold/src/call/attempts.rs
+++ b/dillhold/src/call/attempts.rs
@@ -105,6 +105,7 @@
         tracing::debug!(call = format_args!("{id:016x}"), attempt, exchange = to, "attempt started");
         let expires_at = now.saturating_add(timeout).min(call.deadline);
         call.pending_attempt = Some(Attempt { exchange: to, number: attempt, sent_at: now });
+        call.sent_on = true;
         let request = ExchangeRequest::SetUp {
             attempt,
             timeout: expires_at - now,
--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -49,6 +49,17 @@
     },
 }
 
+/// What a request from a caller says about the client that sent it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Conduct {
+    /// A caller sends such requests.
+    Sound,
+    /// The release of a call that this process does not know. After a start, callers release calls from before it.
+    UnknownRelease,
+    /// No caller sends such a request: it is invalid, or it has the id of another call.
+    Bad,
+}
+
 /// An event reported by an exchange.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ExchangeEvent<'a> {
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -26,7 +26,7 @@
 use crate::deadlines::Deadlines;
 use crate::directory::{Bounds, ControllerSettings, Directory, DirectoryUpdate};
 pub use messages::*;
-use recent::{EndedCalls, NumberHandles};
+use recent::{EndedCall, EndedCalls, NumberHandles};
 pub use standing::GroupState;
 
 /// Largest timeout accepted in a set-up, as a multiple of the deadline of its class.
@@ -74,6 +74,8 @@
     /// Attempts that the decision module has requested, including those that were not allowed.
     attempt_count: u32,
     pending_attempt: Option<Attempt>,
+    /// Whether a set-up was passed on to the connections to an exchange.
+    sent_on: bool,
     /// The attempt that was answered; set while the call stands.
     answered_attempt: Option<Attempt>,
     stands_since: Nanos,
@@ -287,6 +289,11 @@
         self.calls_by_connection.get(&conn).is_some_and(|calls| !calls.open_set_ups.is_empty())
     }
 
+    /// The most calls that may stand at a time.
+    pub fn max_standing_calls(&self) -> usize {
+        self.bounds.max_standing_calls
+    }
+
     /// Whether a call of this connection is open or stands.
     pub fn has_calls(&self, conn: CallerConnId) -> bool {
         self.calls_by_connection.contains_key(&conn)
@@ -300,35 +307,49 @@
         }
     }
 
-    /// Handles a request from a caller. Returns false for an invalid or duplicate set-up and for the release
-    /// of an unknown call.
+    /// Handles a request from a caller. Returns what it says about the client.
     pub fn handle_caller_request(
         &mut self,
         now: Nanos,
         conn: CallerConnId,
         request: CallerRequest<'_>,
-    ) -> bool {
+    ) -> Conduct {
         match request {
             CallerRequest::SetUp(set_up) => self.handle_set_up(now, conn, &set_up),
             CallerRequest::InvalidSetUp(id) => {
                 self.counters.increment("taken set-ups");
                 if !self.reject_duplicate_id(now, conn, id) {
-                    self.reject_invalid_set_up(conn, id);
+                    self.reject_invalid_set_up(now, conn, id);
                 }
-                false
+                Conduct::Bad
             }
             CallerRequest::Release { call_id, cause } => self.handle_caller_release(now, call_id, cause),
         }
     }
 
-    fn reject_invalid_set_up(&mut self, conn: CallerConnId, id: u64) {
+    fn reject_invalid_set_up(&mut self, now: Nanos, conn: CallerConnId, id: u64) {
         tracing::info!(
             call = format_args!("{id:016x}"),
             conn,
             "set-up failed: invalid parameters or call id"
         );
         self.counters.increment("taken set-ups unservable");
-        self.notify_caller(Some(conn), id, CallerNotification::Failed);
+        self.answer_without_entry(now, conn, id, CallerNotification::Failed);
+    }
+
+    /// Refuses a set-up that is not entered in the table.
+    fn refuse_at_once(&mut self, now: Nanos, conn: CallerConnId, id: u64) {
+        let retry_after = self.module_settings.max_retry_after.unwrap_or(0);
+        self.answer_without_entry(now, conn, id, CallerNotification::Refused(retry_after));
+    }
+
+    /// Answers a set-up that is not entered in the table. Its id is remembered like that of any set-up that was answered:
+    /// the caller may give it up at the same moment.
+    fn answer_without_entry(&mut self, now: Nanos, conn: CallerConnId, id: u64, answer: CallerNotification) {
+        self.notify_caller(Some(conn), id, answer);
+        if !self.ended_calls.contains(id) {
+            self.remember_ended_call(now, id, EndedCall { retired: false, sent_on: false });
+        }
     }
 
     /// Fails a set-up with the id of a call that is open or stands. If it came on the connection of that
@@ -355,10 +376,10 @@
         true
     }
 
-    fn handle_set_up(&mut self, now: Nanos, conn: CallerConnId, set_up: &SetUp<'_>) -> bool {
+    fn handle_set_up(&mut self, now: Nanos, conn: CallerConnId, set_up: &SetUp<'_>) -> Conduct {
         self.counters.increment("taken set-ups");
         if self.reject_duplicate_id(now, conn, set_up.call_id) {
-            return false;
+            return Conduct::Bad;
         }
         let class = self.settings.classes.iter().position(|c| c.as_bytes() == set_up.class);
         let accepts_timeout = |class: &usize| {
@@ -369,18 +390,14 @@
         let (Some(class), false) =
             (class.filter(accepts_timeout), self.ended_calls.is_retired(set_up.call_id))
         else {
-            self.reject_invalid_set_up(conn, set_up.call_id);
-            return false;
+            self.reject_invalid_set_up(now, conn, set_up.call_id);
+            return Conduct::Bad;
         };
         let deadline = self.answer_by.map_or(now + set_up.timeout, |by| by.min(now + set_up.timeout));
         if self.refuses_set_ups || deadline <= now + self.module_settings.tick {
             self.counters.increment("answered refused while leaving");
-            self.notify_caller(
-                Some(conn),
-                set_up.call_id,
-                CallerNotification::Refused(self.module_settings.max_retry_after.unwrap_or(0)),
-            );
-            return true;
+            self.refuse_at_once(now, conn, set_up.call_id);
+            return Conduct::Sound;
         }
         let set_up_bytes = set_up.called_number.len() + set_up.description.len();
         let standing = self.calls_by_id.len() - self.open_set_ups;
@@ -397,12 +414,8 @@
                 "set-up refused: call table is full"
             );
             self.counters.increment("answered refused for want of room");
-            self.notify_caller(
-                Some(conn),
-                set_up.call_id,
-                CallerNotification::Refused(self.module_settings.max_retry_after.unwrap_or(0)),
-            );
-            return true;
+            self.refuse_at_once(now, conn, set_up.call_id);
+            return Conduct::Sound;
         }
         let handle = self.next_handle;
         self.next_handle += 1;
@@ -424,6 +437,7 @@
                 deadline,
                 attempt_count: 0,
                 pending_attempt: None,
+                sent_on: false,
                 answered_attempt: None,
                 stands_since: now,
                 awaits_final_answer: true,
@@ -460,24 +474,18 @@
                 after_cut: set_up.after_cut,
             }),
         );
-        true
+        Conduct::Sound
     }
 
     /// Cancels an open set-up or releases a standing call at the caller's request.
-    fn handle_caller_release(&mut self, now: Nanos, id: u64, cause: u8) -> bool {
+    fn handle_caller_release(&mut self, now: Nanos, id: u64, cause: u8) -> Conduct {
         let Some(call) = self.calls_by_id.get(&id) else {
-            // An unknown id may belong to a call from before this process started that still stands at some
-            // exchange. The id of a call that ended recently only crossed its end and is ignored.
-            let unknown = !self.ended_calls.contains(id);
-            if unknown {
-                self.counters.increment("taken releases of unknown calls");
-                self.remember_ended_call(now, id, true);
-                let exchanges: Vec<ExchangeId> = self.directory.machines().map(|(id, _)| id).collect();
-                exchanges
-                    .into_iter()
-                    .for_each(|to| self.request_exchange(to, id, ExchangeRequest::ReleaseUnknown(cause)));
+            // The id of a call that ended recently only crossed its end and is ignored.
+            if self.ended_calls.contains(id) {
+                return Conduct::Sound;
             }
-            return !unknown;
+            self.release_unknown_call(now, id, cause);
+            return Conduct::UnknownRelease;
         };
         if call.awaits_final_answer {
             self.counters.increment("taken set-ups given up");
@@ -487,7 +495,17 @@
             self.request_exchange(attempt.exchange, id, ExchangeRequest::Release(cause));
             self.end_standing_call(now, id, Outcome::CalledOff);
         }
-        true
+        Conduct::Sound
+    }
+
+    /// Releases a call that this process does not know. It may be from before its start and stand at any exchange.
+    fn release_unknown_call(&mut self, now: Nanos, id: u64, cause: u8) {
+        self.counters.increment("taken releases of unknown calls");
+        self.remember_ended_call(now, id, EndedCall { retired: true, sent_on: false });
+        let exchanges: Vec<ExchangeId> = self.directory.machines().map(|(id, _)| id).collect();
+        for exchange in exchanges {
+            self.request_exchange(exchange, id, ExchangeRequest::ReleaseUnknown(cause));
+        }
     }
 
     /// Removes an open set-up after its caller gave up, or after it was answered without the decision
@@ -757,12 +775,12 @@
                 self.update_connection(call.caller_conn, |calls| calls.standing_count -= 1);
                 self.decrement_standing_calls(attempt.exchange);
             }
-            self.remember_ended_call(now, id, retire_id);
+            self.remember_ended_call(now, id, EndedCall { retired: retire_id, sent_on: call.sent_on });
         }
     }
 
-    fn remember_ended_call(&mut self, now: Nanos, id: u64, retire_id: bool) {
-        self.ended_calls.insert(now, id, retire_id);
+    fn remember_ended_call(&mut self, now: Nanos, id: u64, ended_call: EndedCall) {
+        self.ended_calls.insert(now, id, ended_call);
         self.schedule_forget();
     }
 
--- a/dillhold/src/call/standing.rs
+++ b/dillhold/src/call/standing.rs
@@ -4,6 +4,7 @@
 
 use pitchgw::interface::{Cause, ExchangeId, LoadReport, Nanos, Outcome};
 
+use super::recent::EndedCall;
 use super::{
     unix_ms, Call, CallerConnId, CallerNotification, Calls, ExchangeRequest, CAUSE_TEMPORARY_FAILURE,
 };
@@ -33,7 +34,7 @@
             // A call from before this process started: its caller still has to be notified.
             if !self.ended_calls.contains(id) {
                 self.counters.increment("taken releases of unknown calls");
-                self.remember_ended_call(now, id, true);
+                self.remember_ended_call(now, id, EndedCall { retired: true, sent_on: true });
                 self.notify_caller(None, id, CallerNotification::Released(cause));
             }
             return;
--- a/dillhold/src/codec/binary.rs
+++ b/dillhold/src/codec/binary.rs
@@ -7,6 +7,8 @@
 pub mod kind {
     /// Set-up, with a session description.
     pub const SET_UP: u8 = 1;
+    /// Progress of a set-up; it has no meaning.
+    pub const PROGRESS: u8 = 6;
     /// Answer, with a session description.
     pub const ANSWER: u8 = 9;
     /// Refusal, cancelled set-up or release, depending on the state of the call; with a cause.
--- a/dillhold/src/engine/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -1,4 +1,4 @@
-//! Connections from callers: admission and eviction, timeouts, and the connection on which a release is sent.
+//! Connections from callers: admission and eviction, timeouts, and notifications.
 
 use pitchgw::interface::Nanos;
 
@@ -21,25 +21,11 @@
 const MIN_IDLE_CONNECTIONS: usize = 8;
 /// Interval between checks of a connection.
 const CALLER_CHECK_INTERVAL: Nanos = 500 * MS;
-/// How long a release waits for a connection with a confirmed caller. It must reach the caller within a second.
-const CONFIRMED_CALLER_WAIT: Nanos = 400 * MS;
-
-/// The number of other connections that a release is sent on if no confirmed caller appears.
-const MAX_RELEASE_RECIPIENTS: usize = 16;
-
 /// State of the connections from callers.
 #[derive(Default)]
 pub struct Callers {
     /// The number of connections.
     pub count: usize,
-    /// Releases that wait for a connection.
-    undelivered: Vec<UndeliveredRelease>,
-}
-
-struct UndeliveredRelease {
-    since: Nanos,
-    call_id: u64,
-    cause: u8,
 }
 
 impl Engine {
@@ -58,7 +44,6 @@
             .deadlines
             .add(self.now + UNANSWERED_TIMEOUT, Deadline::Engine(EngineDeadline::CallerCheck(conn_id)));
         self.needs_flush.insert(conn_id);
-        self.deliver_releases(None);
         Some(conn_id)
     }
 
@@ -70,7 +55,8 @@
         let can_close = |conn_id: &u64| self.may_close_caller(*conn_id) && !self.calls.has_calls(*conn_id);
         let callers = self.conns.iter().filter_map(|(conn_id, conn)| match &conn.peer {
             Peer::Caller(caller) => {
-                Some((caller.confirmed, if caller.confirmed { caller.last_message_at } else { 0 }, *conn_id))
+                let confirmed = caller.is_confirmed();
+                Some((confirmed, if confirmed { caller.last_message_at } else { 0 }, *conn_id))
             }
             _ => None,
         });
@@ -121,87 +107,32 @@
         notification: &CallerNotification,
     ) {
         let own_conn = conn.filter(|conn_id| self.is_caller(*conn_id));
-        let conn_id = match notification {
-            // A release is sent on the connection of the call's set-up, otherwise on any with a confirmed caller: one
-            // that was sent an answer for a standing call. Clients that only send tests or nothing may ignore it.
-            CallerNotification::Released(_) => {
-                let confirmed = |conn_id: &u64| self.can_write_to_caller(*conn_id, true);
-                own_conn
-                    .filter(|conn_id| self.can_write_to_caller(*conn_id, false))
-                    .or_else(|| self.conns.keys().rev().copied().find(confirmed))
-            }
-            _ => own_conn,
+        let (recipient, release_cause) = match notification {
+            CallerNotification::Released(cause) => (self.release_recipient(own_conn), Some(*cause)),
+            _ => (own_conn, None),
         };
-        match (conn_id, notification) {
-            (Some(conn_id), notification) => self.write_caller(conn_id, call_id, notification),
-            (None, CallerNotification::Released(cause))
-                if self.callers.undelivered.len() < self.bounds.max_standing_calls =>
-            {
-                self.callers.undelivered.push(UndeliveredRelease { since: self.now, call_id, cause: *cause });
-                self.calls
-                    .deadlines
-                    .add(self.now + CONFIRMED_CALLER_WAIT, Deadline::Engine(EngineDeadline::DeliverReleases));
-            }
-            _ => self.calls.counters.increment("errors answers without a connection"),
+        if let Some(conn_id) = recipient {
+            return self.write_caller(conn_id, call_id, notification);
+        }
+        if !release_cause.is_some_and(|cause| self.queue_release(call_id, cause)) {
+            self.calls.counters.increment("errors answers without a connection");
         }
     }
 
-    /// Whether a caller's connection can be written to; with `confirmed`, also whether its caller is confirmed.
-    fn can_write_to_caller(&self, conn_id: ConnId, confirmed: bool) -> bool {
-        let conn = self.conns.get(&conn_id).filter(|c| c.is_read() && !c.write_closed);
-        conn.is_some_and(|c| matches!(&c.peer, Peer::Caller(caller) if caller.confirmed || !confirmed))
+    /// Whether a caller's connection can be written to, and its caller is still heard.
+    pub(super) fn can_write_to_caller(&self, conn_id: ConnId) -> bool {
+        let conn = self.conns.get(&conn_id);
+        conn.is_some_and(|c| matches!(c.peer, Peer::Caller(_)) && c.is_read() && !c.write_closed)
     }
 
-    fn write_caller(&mut self, conn_id: ConnId, call_id: u64, notification: &CallerNotification) {
+    pub(super) fn write_caller(&mut self, conn_id: ConnId, call_id: u64, notification: &CallerNotification) {
         let Some(Peer::Caller(caller)) = self.conns.get_mut(&conn_id).map(|c| &mut c.peer) else { return };
-        let was_unconfirmed = !caller.confirmed;
+        let was_confirmed = caller.is_confirmed();
         caller.send(self.now, call_id, notification);
+        let is_confirmed = caller.is_confirmed();
         self.needs_flush.insert(conn_id);
-        if was_unconfirmed && matches!(notification, CallerNotification::Answer(_)) {
-            self.deliver_releases(Some(conn_id));
+        if is_confirmed && !was_confirmed {
+            self.deliver_releases_to(conn_id);
         }
     }
-
-    /// Sends the waiting releases on the connection `confirmed`, which has a confirmed caller. Without one, sends those
-    /// that have waited for [`CONFIRMED_CALLER_WAIT`] on several connections that may have one.
-    pub(super) fn deliver_releases(&mut self, confirmed: Option<ConnId>) {
-        if self.callers.undelivered.is_empty() {
-            return;
-        }
-        let to = confirmed.map_or_else(|| self.possible_callers(), |conn_id| vec![conn_id]);
-        if to.is_empty() {
-            return;
-        }
-        let now = self.now;
-        let keeps_waiting = |since: Nanos| confirmed.is_none() && now < since + CONFIRMED_CALLER_WAIT;
-        let undelivered = std::mem::take(&mut self.callers.undelivered);
-        for release in undelivered {
-            if keeps_waiting(release.since) {
-                self.callers.undelivered.push(release);
-            } else {
-                let UndeliveredRelease { call_id, cause, .. } = release;
-                tracing::debug!(
-                    call = format_args!("{call_id:016x}"),
-                    cause,
-                    ?to,
-                    "release sent on other connections"
-                );
-                to.iter().for_each(|conn_id| {
-                    self.write_caller(*conn_id, call_id, &CallerNotification::Released(cause))
-                });
-            }
-        }
-    }
-
-    /// The newest connections that may have a caller. None of them is confirmed and other clients connect too, so a
-    /// release is sent on several.
-    fn possible_callers(&self) -> Vec<ConnId> {
-        let eligible = |conn_id: &ConnId| match self.conns.get(conn_id).map(|c| &c.peer) {
-            Some(Peer::Caller(caller)) => {
-                self.can_write_to_caller(*conn_id, false) && caller.is_well_behaved()
-            }
-            _ => false,
-        };
-        self.conns.keys().rev().copied().filter(eligible).take(MAX_RELEASE_RECIPIENTS).collect()
-    }
 }
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -171,7 +171,7 @@
     pub(super) fn exchange_disconnected(&mut self, id: ExchangeId, connect_failed: bool, refused: bool) {
         let Some(link) = self.links.get_mut(&id) else { return };
         (link.conn, link.awaiting_reply_since) = (None, None);
-        let unsent = link.session.connection_lost();
+        let unsent = link.session.connection_lost(self.now);
         let process_ended = refused && link.count_refusal(self.now);
         if !refused {
             link.refusals = 0;
@@ -231,7 +231,7 @@
             }
             return;
         };
-        let accepted = link.session.send(call_id, request);
+        let accepted = link.session.send(self.now, call_id, request);
         let conn = link.conn;
         if let (ExchangeRequest::SetUp { attempt, .. }, false) = (request, accepted) {
             self.calls.attempt_lost(self.now, call_id, *attempt, AttemptProgress::NeverSent);
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -25,6 +25,7 @@
 mod journal;
 mod leave;
 mod liveness;
+mod release_delivery;
 mod shutdown;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -49,6 +50,7 @@
 use exchanges::ExchangeLink;
 use journal::JournalClient;
 use liveness::LivenessCheck;
+use release_delivery::ReleaseQueue;
 use shutdown::{Phase, Shutdown};
 
 /// How long a connection is still read after its writing side was closed, so that the last bytes written arrive.
@@ -145,6 +147,7 @@
     /// Size of the buffers of all connections.
     buffer_bytes: usize,
     callers: Callers,
+    release_queue: ReleaseQueue,
     links: BTreeMap<ExchangeId, ExchangeLink>,
     journal_client: JournalClient,
     listen_address: SocketAddr,
@@ -170,6 +173,7 @@
             outputs: VecDeque::from([Output::Listen(config.listen)]),
             buffer_bytes: 0,
             callers: Callers::default(),
+            release_queue: ReleaseQueue::default(),
             links: BTreeMap::new(),
             journal_client: JournalClient::new(config.journal),
             listen_address: config.listen,
@@ -274,6 +278,7 @@
     pub fn table_sizes(&self) -> TableSizes {
         let mut sizes = self.calls.table_sizes();
         sizes.extend([
+            ("releases that wait for a caller", self.release_queue.len()),
             ("connections", self.conns.len()),
             ("connections of callers", self.callers.count),
             ("bytes of buffers", self.buffer_bytes),
@@ -601,7 +606,7 @@
             EngineDeadline::PollJournal => self.poll_journal(),
             EngineDeadline::JournalTimeout(conn_id) => self.handle_journal_timeout(conn_id),
             EngineDeadline::CallerCheck(conn_id) => self.check_caller(conn_id),
-            EngineDeadline::DeliverReleases => self.deliver_releases(None),
+            EngineDeadline::DeliverReleases => self.deliver_waiting_releases(),
             EngineDeadline::StopListening => self.stop_listening(),
             EngineDeadline::CloseUnused => self.close_unused_callers(),
             EngineDeadline::WriteShutdownTimeout(conn_id) => self.connection_lost(conn_id),
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -4,7 +4,7 @@
 
 use pitchgw::interface::Nanos;
 
-use crate::call::{CallerConnId, CallerNotification, CallerRequest, Calls, SetUp};
+use crate::call::{CallerConnId, CallerNotification, CallerRequest, Calls, Conduct, SetUp};
 use crate::clock::MS;
 use crate::codec::binary::{self, kind, param, Message};
 use crate::codec::{parse_attributes, ParseError, MAX_MESSAGE_BYTES};
@@ -19,9 +19,8 @@
 /// How long a release may be repeated on another connection. Acknowledging a release is optional for callers.
 const UNACKED_RELEASE_RETENTION: Nanos = 1_000 * MS;
 
-/// A connection is closed after more rejected messages than this. It is not lower because callers release
-/// calls from before a restart, which are unknown here.
-const MAX_REJECTED_MESSAGES: u32 = 250;
+/// A connection is not read any more after more bad messages than this.
+const MAX_BAD_MESSAGES: u32 = 250;
 /// Longest called number.
 const MAX_CALLED_NUMBER_BYTES: usize = 128;
 /// Size of a set-up in SIP without called number, class and description.
@@ -29,19 +28,56 @@
 /// Most circuits that one call can seize on a group.
 const MAX_CALL_WIDTH: u32 = 1024;
 
+/// How likely it is that a connection has a caller, in ascending order. Other clients connect too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallerLikelihood {
+    /// Nothing but tests was received.
+    Unknown,
+    /// A release was received.
+    Released,
+    /// A set-up was received that a caller may send.
+    SetUp,
+    /// An answer for a standing call was sent. Only a real caller gets one.
+    Confirmed,
+}
+
+/// What the messages of a connection say about its client.
+#[derive(Debug, Default)]
+struct ClientRecord {
+    likelihood: Option<CallerLikelihood>,
+    bad_messages: u32,
+    unknown_releases: usize,
+}
+
+impl ClientRecord {
+    fn raise_likelihood(&mut self, to: CallerLikelihood) {
+        self.likelihood = self.likelihood.max(Some(to));
+    }
+
+    /// Records a request that makes the client look like a caller, unless it is bad.
+    fn record(&mut self, conduct: Conduct, likelihood: CallerLikelihood, max_standing_calls: usize) {
+        match conduct {
+            Conduct::Sound => self.raise_likelihood(likelihood),
+            // No more calls than that can be from before the start.
+            Conduct::UnknownRelease if self.unknown_releases < max_standing_calls => {
+                self.unknown_releases += 1;
+                self.raise_likelihood(likelihood);
+            }
+            Conduct::UnknownRelease | Conduct::Bad => self.bad_messages += 1,
+        }
+    }
+}
+
 /// State of one connection.
 #[derive(Debug, Default)]
 pub struct CallerSession {
-    /// Whether an answer was sent on it. Only a real caller gets one; other clients merely connect or send
-    /// tests.
-    pub confirmed: bool,
+    client: ClientRecord,
     /// Whether any notification was sent on it.
     pub notified: bool,
     /// When the last complete message was received.
     pub last_message_at: Nanos,
     /// Since when the message being received has been incomplete.
     pub incomplete_since: Option<Nanos>,
-    rejected_messages: u32,
     /// Releases that the caller has not acknowledged, oldest first: when they were sent, call id and cause.
     unacked_releases: VecDeque<(Nanos, u64, u8)>,
     /// Received bytes.
@@ -59,7 +95,7 @@
         calls: &mut Calls,
     ) -> Result<(), ParseError> {
         let (out, unacked_releases) = (&mut self.write_buffer, &mut self.unacked_releases);
-        let (last_message_at, rejected_messages) = (&mut self.last_message_at, &mut self.rejected_messages);
+        let (last_message_at, client) = (&mut self.last_message_at, &mut self.client);
         let (incomplete_since, mut completed) = (self.incomplete_since, false);
         process_messages(&mut self.read_buffer, |unread| {
             let Some((message, consumed)) = binary::parse(unread)? else { return Ok(None) };
@@ -67,14 +103,14 @@
             match message.kind {
                 kind::SET_UP => {
                     let request = parse_set_up(&message);
-                    let accepted = calls.handle_caller_request(now, conn, request);
-                    *rejected_messages += u32::from(!accepted);
+                    let conduct = calls.handle_caller_request(now, conn, request);
+                    client.record(conduct, CallerLikelihood::SetUp, calls.max_standing_calls());
                 }
                 kind::RELEASE => {
                     let (call_id, cause) = (message.call_id, message.cause().unwrap_or(16));
-                    let known =
-                        calls.handle_caller_request(now, conn, CallerRequest::Release { call_id, cause });
-                    *rejected_messages += u32::from(!known);
+                    let request = CallerRequest::Release { call_id, cause };
+                    let conduct = calls.handle_caller_request(now, conn, request);
+                    client.record(conduct, CallerLikelihood::Released, calls.max_standing_calls());
                 }
                 kind::TEST => {
                     calls.counters.increment("answered tests");
@@ -86,14 +122,15 @@
                     );
                 }
                 kind::RELEASE_ACK => unacked_releases.retain(|(_, id, _)| *id != message.call_id),
+                kind::PROGRESS => {}
                 _ => {
                     calls.counters.increment("taken messages skipped");
-                    *rejected_messages += 1;
+                    client.bad_messages += 1;
                 }
             }
             // A client that keeps sending messages which cannot be served takes processing time from the
             // others.
-            if *rejected_messages > MAX_REJECTED_MESSAGES {
+            if client.bad_messages > MAX_BAD_MESSAGES {
                 return Err(ParseError::Malformed);
             }
             Ok(Some(consumed))
@@ -103,9 +140,15 @@
         Ok(())
     }
 
-    /// Whether no message was rejected and none is incomplete.
-    pub fn is_well_behaved(&self) -> bool {
-        self.rejected_messages == 0 && self.read_buffer.unread().is_empty()
+    /// How likely it is that the connection has a caller; `None` if all that is known of its client is bad.
+    pub fn likelihood(&self) -> Option<CallerLikelihood> {
+        let unknown = Some(CallerLikelihood::Unknown).filter(|_| self.client.bad_messages == 0);
+        self.client.likelihood.or(unknown)
+    }
+
+    /// Whether the connection has a caller for certain.
+    pub fn is_confirmed(&self) -> bool {
+        self.client.likelihood == Some(CallerLikelihood::Confirmed)
     }
 
     /// Discards the record of unacknowledged releases: the connection is closed in an orderly way, so
@@ -120,7 +163,7 @@
         let out = self.write_buffer.buffer();
         match notification {
             CallerNotification::Answer(description) => {
-                self.confirmed = true;
+                self.client.raise_likelihood(CallerLikelihood::Confirmed);
                 let parameters = [(param::DESCRIPTION, &description[..])];
                 self.write_buffer
                     .append_tracked((id, 0), |out| binary::write(out, kind::ANSWER, id, &parameters));
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -1,7 +1,7 @@
 //! Session of the link to one exchange, which uses SIP. It outlives single connections: unacknowledged
 //! releases are repeated on the next one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use pitchgw::interface::{Cause, ExchangeId, LoadReport, Nanos, Outcome};
 
@@ -16,6 +16,10 @@
 /// Unacknowledged releases that are kept; the one with the lowest call id is evicted first. All of them are
 /// repeated at once on a new connection, which is closed when more than 256 KiB are pending on it.
 const MAX_UNACKED_RELEASES: usize = 1024;
+/// The same for releases of calls that this process does not know; the oldest is evicted first.
+const MAX_UNACKED_UNKNOWN_RELEASES: usize = 256;
+/// How long such a release is repeated. An exchange at which the call does not stand need not acknowledge it.
+const UNKNOWN_RELEASE_RETENTION: Nanos = 10_000 * MS;
 
 /// State of one link.
 #[derive(Debug, Default)]
@@ -30,6 +34,15 @@
     pub has_requests: bool,
     /// Causes of the releases that the exchange has not acknowledged, by call id.
     unacked_releases: BTreeMap<u64, u8>,
+    /// The same for releases of calls that this process does not know, oldest first.
+    unacked_unknown_releases: VecDeque<UnknownRelease>,
+}
+
+#[derive(Debug)]
+struct UnknownRelease {
+    sent_at: Nanos,
+    call_id: u64,
+    cause: u8,
 }
 
 impl ExchangeSession {
@@ -41,6 +54,7 @@
         calls: &mut Calls,
     ) -> Result<(), ParseError> {
         let (out, unacked_releases) = (&mut self.write_buffer, &mut self.unacked_releases);
+        let unacked_unknown_releases = &mut self.unacked_unknown_releases;
         let (incomplete_since, mut completed) = (self.incomplete_since, false);
         process_messages(&mut self.read_buffer, |unread| {
             let Some((message, consumed)) = sip::parse(unread)? else { return Ok(None) };
@@ -63,7 +77,9 @@
                             );
                         }
                         (Some(id), Some((_, b"BYE"))) if code >= 200 => {
-                            unacked_releases.remove(&id);
+                            if unacked_releases.remove(&id).is_none() {
+                                unacked_unknown_releases.retain(|release| release.call_id != id);
+                            }
                         }
                         (Some(_), Some(_)) => {}
                         // A response that cannot be matched to a request is corrupt, and the bytes after it
@@ -81,7 +97,7 @@
     }
 
     /// Writes a request. Returns false for a set-up that is not sent because too many bytes are pending.
-    pub fn send(&mut self, id: u64, request: &ExchangeRequest) -> bool {
+    pub fn send(&mut self, now: Nanos, id: u64, request: &ExchangeRequest) -> bool {
         self.has_requests = true;
         match request {
             ExchangeRequest::SetUp { attempt, timeout, class, called_number, description } => {
@@ -106,11 +122,7 @@
                     write_request(out, "CANCEL", "sip:call@net", id, attempt + 1, format_args!(""), b"");
                 }
             }
-            // Dropped when much is pending: any client can send releases of calls that do not exist, and they
-            // must not crowd out other requests.
-            ExchangeRequest::ReleaseUnknown(_)
-                if self.write_buffer.pending().len() > MAX_PENDING_BYTES / 2 => {}
-            ExchangeRequest::ReleaseUnknown(cause) => self.write_release(id, *cause),
+            ExchangeRequest::ReleaseUnknown(cause) => self.send_unknown_release(now, id, *cause),
             ExchangeRequest::Release(cause) => {
                 self.write_release(id, *cause);
                 if self.unacked_releases.len() >= MAX_UNACKED_RELEASES {
@@ -122,6 +134,18 @@
         true
     }
 
+    /// Sends the release of a call that this process does not know. It is not written when much is pending: any client can
+    /// send releases of calls that do not exist, and they must not crowd out other requests.
+    fn send_unknown_release(&mut self, now: Nanos, call_id: u64, cause: u8) {
+        if self.write_buffer.pending().len() <= MAX_PENDING_BYTES / 2 {
+            self.write_release(call_id, cause);
+        }
+        if self.unacked_unknown_releases.len() >= MAX_UNACKED_UNKNOWN_RELEASES {
+            self.unacked_unknown_releases.pop_front();
+        }
+        self.unacked_unknown_releases.push_back(UnknownRelease { sent_at: now, call_id, cause });
+    }
+
     fn write_release(&mut self, id: u64, cause: u8) {
         let headers = format_args!("Reason: Q.850;cause={cause}\r\n");
         write_request(self.write_buffer.buffer(), "BYE", "sip:call@net", id, 1000, headers, b"");
@@ -129,13 +153,16 @@
 
     /// Resets the session after its connection was lost or could not be established. Returns the call ids and
     /// attempt numbers of the set-ups that were not written completely.
-    pub fn connection_lost(&mut self) -> Vec<(u64, u32)> {
+    pub fn connection_lost(&mut self, now: Nanos) -> Vec<(u64, u32)> {
         (self.read_buffer, self.incomplete_since) = (ReadBuffer::default(), None);
         let unsent = self.write_buffer.clear();
-        self.has_requests = !self.unacked_releases.is_empty();
-        for (id, cause) in std::mem::take(&mut self.unacked_releases) {
+        self.unacked_unknown_releases.retain(|release| now < release.sent_at + UNKNOWN_RELEASE_RETENTION);
+        let known = self.unacked_releases.iter().map(|(id, cause)| (*id, *cause));
+        let unknown = self.unacked_unknown_releases.iter().map(|release| (release.call_id, release.cause));
+        let repeated: Vec<(u64, u8)> = known.chain(unknown).collect();
+        self.has_requests = !repeated.is_empty();
+        for (id, cause) in repeated {
             self.write_release(id, cause);
-            self.unacked_releases.insert(id, cause);
         }
         unsent
     }
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -809,3 +809,82 @@
     harness.advance(700 * MS);
     assert!(harness.is_closed(caller));
 }
+
+/// Guards against a release of a call from before the start that is told to nobody: callers that had released another
+/// such call, or a set-up refused at the same moment, were taken for bad clients.
+#[test]
+fn caller_that_released_calls_from_before_the_start_is_told_of_others() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    for id in 1_000..1_400 {
+        harness.receive(caller, &release_message(id));
+    }
+    for id in 2_000..2_400 {
+        harness.receive(caller, &[set_up_message_with(id, "4", DESCRIPTION), release_message(id)].concat());
+    }
+    let mut progress = Vec::new();
+    binary::write(&mut progress, 6, 1, &[]);
+    harness.receive(caller, &progress.repeat(400));
+    assert_eq!(take_notifications(&mut harness, caller).len(), 400, "too little time: refused");
+    let to_exchange = String::from_utf8(harness.take_written(exchange)).unwrap();
+    assert_eq!(to_exchange.matches("BYE ").count(), 400, "only those that may stand there");
+    harness.receive(exchange, &bye_request(99));
+    harness.advance(800 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 99, Some(16))]);
+}
+
+/// Guards against a release that finds nobody and is never tried again.
+#[test]
+fn release_waits_for_a_connection_and_is_sent_on_further_ones() {
+    let mut harness = EngineHarness::new();
+    let (exchange, bad) = (harness.establish(1), harness.accept_caller());
+    harness.receive(bad, &set_up_message(3, b"none"));
+    harness.receive(exchange, &bye_request(99));
+    harness.advance(20_000 * MS);
+    let caller = harness.accept_caller();
+    harness.advance(500 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 99, Some(16))]);
+    // Nobody knows whether that was a caller: one that comes after it is told too.
+    let next = harness.accept_caller();
+    harness.advance(500 * MS);
+    assert_eq!(take_notifications(&mut harness, next), [(binary::kind::RELEASE, 99, Some(16))]);
+    assert_eq!(take_notifications(&mut harness, caller), [], "once on each connection");
+}
+
+/// Guards against a crowd of silent clients that is told of calls in place of their callers.
+#[test]
+fn release_goes_to_clients_that_behave_like_callers_first() {
+    let mut harness = EngineHarness::with_limits(256, 32);
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    harness.receive(caller, &set_up_message_with(7, "4", DESCRIPTION));
+    take_notifications(&mut harness, caller);
+    for _ in 0..40 {
+        harness.accept_caller();
+    }
+    harness.receive(exchange, &bye_request(99));
+    harness.advance(500 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 99, Some(16))]);
+}
+
+/// Guards against a call from before the start that is left standing: its release was lost when the connection to its
+/// exchange was.
+#[test]
+fn repeats_release_of_unknown_call_on_the_next_connection() {
+    let mut harness = EngineHarness::new();
+    let caller = harness.accept_caller();
+    harness.receive(caller, &release_message(99));
+    harness.advance(600 * MS); // the connection did not come up in time
+    harness.advance(250 * MS);
+    let exchange = harness.establish(1);
+    assert!(starts_with_text(&harness.take_written(exchange), "BYE "));
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(300 * MS);
+    let exchange = harness.establish(1);
+    assert!(starts_with_text(&harness.take_written(exchange), "BYE "));
+    let heard = format!("SIP/2.0 200 OK\r\nCall-ID: {:016x}\r\nCSeq: 1000 BYE\r\nl: 0\r\n\r\n", 99);
+    harness.receive(exchange, heard.as_bytes());
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(300 * MS);
+    let exchange = harness.establish(1);
+    assert!(harness.take_written(exchange).is_empty(), "the exchange has heard it");
+}
