Install the handlers of signals before the configuration is read

A successor that waited for its address, 10 s at most, had no handlers either.

Cause: Driver::start installed them after it had read the configuration and bound the address.

Change: net/signals.rs installs them first; what arrives before the driver runs waits in its pipe. A shutdown that is requested while the address is in use ends the wait, with exit code 0.

What remains is the time until main runs. Two tests in dillhold/tests/program.rs fail on the code before and pass now.

--- a/dillhold/src/main.rs
+++ b/dillhold/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use dillhold::net::{read_config, Driver};
+use dillhold::net::{read_config, Driver, Signals};
 use dillhold::operator;
 use tracing_subscriber::EnvFilter;
 
@@ -48,12 +48,16 @@
 }
 
 fn serve(cli: &Cli) -> Result<(), String> {
+    let signals = Signals::install()?;
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG is not set".to_string())?;
     let log_filter = std::env::var("DILLHOLD_LOG").unwrap_or_else(|_| "off".into());
     let filter = EnvFilter::try_new(&log_filter).map_err(|e| format!("DILLHOLD_LOG: {log_filter}: {e}"))?;
     tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
     let operator = operator::read(cli.operator.as_deref()).map_err(|e| e.to_string())?;
-    Driver::start(path, &operator)?.run()
+    match Driver::start(path, &operator, signals)? {
+        Some(driver) => driver.run(),
+        None => Ok(()),
+    }
 }
 
 fn main() -> ExitCode {
--- a/dillhold/src/net/conn.rs
+++ b/dillhold/src/net/conn.rs
@@ -72,8 +72,12 @@
     }
 }
 
-/// Discards the bytes in a signal pipe.
-pub fn clear_pipe(mut pipe: &UnixStream) {
+/// Discards the bytes in a signal pipe. Returns whether there were any.
+pub fn clear_pipe(mut pipe: &UnixStream) -> bool {
     let mut bytes = [0; 64];
-    while matches!(pipe.read(&mut bytes), Ok(n) if n > 0) {}
+    let mut found = false;
+    while matches!(pipe.read(&mut bytes), Ok(n) if n > 0) {
+        found = true;
+    }
+    found
 }
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -3,18 +3,17 @@
 
 pub mod archive;
 mod conn;
+mod signals;
 
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::os::fd::AsFd;
-use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
 
 use pitchgw::interface::Nanos;
 use rustix::buffer::spare_capacity;
 use rustix::event::{epoll, Timespec};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 
 use crate::clock::{Clock, MS};
 use crate::directory::{self, Config, ControllerSettings};
@@ -22,6 +21,8 @@
 use crate::operator::Operator;
 use archive::IntervalArchive;
 use conn::Conn;
+use signals::Request;
+pub use signals::Signals;
 
 /// Epoll tokens of the listener and the signal pipes. Those of connections are their ids, which start above.
 const LISTENER: u64 = 0;
@@ -58,8 +59,7 @@
     /// The listener of a new configuration, bound before that is applied.
     pending_listener: Option<TcpListener>,
     listen_address: SocketAddr,
-    /// For shutdown, printing the counters and reload, in this order.
-    signal_pipes: [UnixStream; 3],
+    signals: Signals,
     /// The configuration file, which is read again on SIGHUP.
     config_path: String,
     clock: Clock,
@@ -82,8 +82,8 @@
     Ok((config, settings))
 }
 
-/// Binds the listen address, waiting while it is in use.
-fn bind_when_free(address: SocketAddr) -> io::Result<TcpListener> {
+/// Binds the listen address, waiting while it is in use. Returns `None` if a shutdown is requested meanwhile.
+fn bind_when_free(address: SocketAddr, signals: &Signals) -> io::Result<Option<TcpListener>> {
     let wait_until = Instant::now() + ADDRESS_IN_USE_TIMEOUT;
     let mut reported = false;
     loop {
@@ -93,8 +93,11 @@
                     eprintln!("dillhold: listen: {address} is in use; waiting for it");
                 }
                 std::thread::sleep(ADDRESS_RETRY_INTERVAL);
+                if signals.take(Request::Shutdown) {
+                    return Ok(None);
+                }
             }
-            result => return result,
+            result => return result.map(Some),
         }
     }
 }
@@ -111,12 +114,27 @@
     epoll::add(epoll, fd, data, epoll::EventFlags::IN).map_err(|e| format!("epoll: {e}"))
 }
 
+/// The token of the pipe on which a request arrives.
+fn token_of(request: Request) -> u64 {
+    match request {
+        Request::Shutdown => SIGNAL_SHUTDOWN,
+        Request::Print => SIGNAL_PRINT,
+        Request::Reload => SIGNAL_RELOAD,
+    }
+}
+
 impl Driver {
-    /// Reads the configuration, opens the listener and, if the operator's file names one, the measuring folder.
-    pub fn start(config_path: String, operator: &Operator) -> Result<Driver, String> {
+    /// Reads the configuration, opens the listener and, if the operator's file names one, the measuring folder. Returns
+    /// `None` if a shutdown is requested while the listen address is in use.
+    pub fn start(
+        config_path: String,
+        operator: &Operator,
+        signals: Signals,
+    ) -> Result<Option<Driver>, String> {
         let (config, settings) = read_config(&config_path)?;
         let listen_address = config.listen;
-        let listener = bind_when_free(listen_address).map_err(error_context("listen"))?;
+        let listener = bind_when_free(listen_address, &signals).map_err(error_context("listen"))?;
+        let Some(listener) = listener else { return Ok(None) };
         let mut clock = Clock::start();
         let now = clock.read();
         let mut engine = Engine::new(now, config, settings)?;
@@ -128,31 +146,16 @@
 
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC).map_err(|e| format!("epoll: {e}"))?;
         let pending_listener = Some(listen(&epoll, listener)?);
-        let mut signal_pipes = Vec::new();
-        let signals = [
-            (SIGNAL_SHUTDOWN, &[SIGTERM, SIGINT][..]),
-            (SIGNAL_PRINT, &[SIGUSR1]),
-            (SIGNAL_RELOAD, &[SIGHUP]),
-        ];
-        for (token, signals) in signals {
-            let (read_end, write_end) = UnixStream::pair().map_err(error_context("signals"))?;
-            read_end.set_nonblocking(true).map_err(error_context("signals"))?;
-            for signal in signals {
-                let write_end = write_end.try_clone().map_err(error_context("signals"))?;
-                signal_hook::low_level::pipe::register(*signal, write_end)
-                    .map_err(error_context("signals"))?;
-            }
-            register(&epoll, read_end.as_fd(), token)?;
-            signal_pipes.push(read_end);
+        for (request, pipe) in signals.pipes() {
+            register(&epoll, pipe, token_of(request))?;
         }
-        let signal_pipes = signal_pipes.try_into().map_err(|_| "signals")?;
         let (conns, stopped) = (BTreeMap::new(), false);
         let mut driver = Driver {
             epoll,
             listener: None,
             pending_listener,
             listen_address,
-            signal_pipes,
+            signals,
             config_path,
             clock,
             now,
@@ -162,7 +165,7 @@
             stopped,
         };
         driver.apply_outputs();
-        Ok(driver)
+        Ok(Some(driver))
     }
 
     /// Serves until the shutdown is complete.
@@ -203,15 +206,15 @@
             match event.data.u64() {
                 LISTENER => self.accept(),
                 SIGNAL_SHUTDOWN => {
-                    conn::clear_pipe(&self.signal_pipes[0]);
+                    self.signals.take(Request::Shutdown);
                     self.engine.shut_down();
                 }
                 SIGNAL_PRINT => {
-                    conn::clear_pipe(&self.signal_pipes[1]);
+                    self.signals.take(Request::Print);
                     self.print_counters();
                 }
                 SIGNAL_RELOAD => {
-                    conn::clear_pipe(&self.signal_pipes[2]);
+                    self.signals.take(Request::Reload);
                     if let Err(error) = self.reload() {
                         eprintln!("dillhold: not applied: {}", error.replace(char::is_control, " "));
                     }
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -438,3 +438,47 @@
     assert!(!output.status.success() && stderr.contains("measure.folder"), "{stderr}");
     let _ = (std::fs::remove_file(&path), std::fs::remove_file(&operator));
 }
+
+/// Guards against a SIGHUP right after the start that ends the program: the handlers were installed once the configuration
+/// was read and the address bound. The program reads a named pipe here, so the test knows how far it is.
+#[test]
+fn signal_before_the_configuration_is_read_is_handled_after_the_start() {
+    let listeners = [bind_listener(), bind_listener()];
+    let [journal, exchange] = [&listeners[0], &listeners[1]].map(|l| l.local_addr().unwrap());
+    let listen = bind_listener().local_addr().unwrap();
+    let config = test_config(listen, journal, &[journal_target(1, "s-1", exchange, "SERVING")]);
+    let path = config_path("early-signal");
+    let next = config_path("early-signal-next");
+    std::fs::write(&next, config.to_string()).unwrap();
+    let _ = std::fs::remove_file(&path);
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_dillhold"));
+    let child = command.env("EDGE_CONFIG", &path).stderr(std::process::Stdio::piped()).spawn().unwrap();
+    let mut program = Program { child, listen, config, path: path.clone() };
+    // This returns once the program has opened the pipe for reading.
+    let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    program.send_signal("-HUP");
+    std::fs::rename(&next, &path).unwrap();
+    pipe.write_all(program.config.to_string().as_bytes()).unwrap();
+    drop(pipe);
+    while TcpStream::connect(listen).is_err() {
+        assert!(program.child.try_wait().unwrap().is_none(), "the signal ended the program");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    program.connect_caller().expect_nothing_else();
+    program.send_signal("-USR1");
+    program.read_stderr_until("counter taken configurations 1\n");
+}
+
+/// A successor that waits for its address is told to end.
+#[test]
+fn sigterm_ends_the_wait_for_the_listen_address() {
+    let occupied = bind_listener();
+    let config = test_config(occupied.local_addr().unwrap(), "127.0.0.1:1".parse().unwrap(), &[]);
+    let child = spawn_program(&config.to_string(), "wait-ends");
+    let listen = occupied.local_addr().unwrap();
+    let mut program = Program { child, listen, config, path: config_path("wait-ends") };
+    program.read_stderr_until("waiting for it\n");
+    program.send_signal("-TERM");
+    assert_eq!(program.child.wait().unwrap().code(), Some(0));
+}
