Keep a leg of the simulated world while its silenced connection is open

Cause: an ended leg is dropped after 5 s, and the close of its connection is reported to the auditor by leg; on a silenced connection the controller learns of no other end, so a close after more than 5 s was not reported.

Change: the leg is kept while its silenced connection is open, so the auditor sees the end of the attempt when it comes.

--- a/rehearsal/src/world/mod.rs
+++ b/rehearsal/src/world/mod.rs
@@ -708,15 +708,6 @@
         let [from, to] = self.script.advice.age;
         self.schedule_in(seconds_to_nanos((to.0 - from.0).max(0.5)), Event::AdviceSnapshot);
     }
-
-    /// Drops a leg after its retention time.
-    fn expire_leg(&mut self, leg_id: u64) {
-        if let Some(leg) = self.legs.remove(&leg_id) {
-            if self.latest_leg.get(&(leg.controller, leg.call_id)) == Some(&leg_id) {
-                self.latest_leg.remove(&(leg.controller, leg.call_id));
-            }
-        }
-    }
 }
 
 /// Adds bytes to the digest. Direction: 0 towards the controller, 1 from it.
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -545,6 +545,20 @@
         }
     }
 
+    /// Drops a leg after its retention time. On a silenced connection the controller learns of its end only by closing
+    /// that, so the leg is kept until then.
+    pub(super) fn expire_leg(&mut self, leg_id: u64) {
+        let connection = self.legs.get(&leg_id).and_then(|leg| self.connections.get(&leg.connection_id));
+        if connection.is_some_and(|connection| connection.silenced) {
+            return self.schedule_in(LEG_RETENTION, Event::ExpireLeg { leg_id });
+        }
+        if let Some(leg) = self.legs.remove(&leg_id) {
+            if self.latest_leg.get(&(leg.controller, leg.call_id)) == Some(&leg_id) {
+                self.latest_leg.remove(&(leg.controller, leg.call_id));
+            }
+        }
+    }
+
     fn notify_group_to_both_ends(&mut self, a: usize, b: usize) {
         self.notify_group(a, b);
         self.notify_group(b, a);
