--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -36,8 +36,8 @@
 /// releasing its calls. The journal reports up to 7 s late, and the calls have to be released towards their
 /// callers within 8 s of their end.
 const ENDED_MACHINE_RELEASE_WINDOW: Nanos = 250 * MS;
-/// Q.850 cause 41, temporary failure: the call was cut.
-const CAUSE_TEMPORARY_FAILURE: u8 = 41;
+/// Q.850 cause 41, temporary failure: a set-up failed, or a standing call was cut.
+pub const CAUSE_TEMPORARY_FAILURE: u8 = 41;
 
 /// An attempt that was sent to an exchange.
 #[derive(Clone, Copy, Debug)]
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -4,7 +4,9 @@
 
 use pitchgw::interface::Nanos;
 
-use crate::call::{CallerConnId, CallerNotification, CallerRequest, Calls, Conduct, SetUp};
+use crate::call::{
+    CallerConnId, CallerNotification, CallerRequest, Calls, Conduct, SetUp, CAUSE_TEMPORARY_FAILURE,
+};
 use crate::clock::MS;
 use crate::codec::binary::{self, kind, param, Message};
 use crate::codec::{parse_attributes, ParseError, MAX_MESSAGE_BYTES};
@@ -12,8 +14,6 @@
 
 /// Q.850 cause 42, switching equipment congestion: the set-up was refused, and the caller may redial.
 const CAUSE_CONGESTION: u8 = 42;
-/// Q.850 cause 41, temporary failure: the set-up failed.
-const CAUSE_TEMPORARY_FAILURE: u8 = 41;
 /// Unacknowledged releases that are kept; the oldest are evicted first.
 const MAX_UNACKED_RELEASES: usize = 1024;
 /// How long a release may be repeated on another connection. Acknowledging a release is optional for callers.
--- a/dillhold/tests/calls.rs
+++ b/dillhold/tests/calls.rs
@@ -385,3 +385,29 @@
     // One for the ids of ended calls, which are discarded together.
     assert_eq!(calls.deadlines.len(), with_one_open + 1);
 }
+
+/// Guards against two attempts out at once: an exchange that fails set-ups is tried again at once, and the second copy of
+/// its answer, some milliseconds later, was taken for the end of the next attempt.
+#[test]
+fn second_copy_of_a_failure_does_not_end_the_next_attempt() {
+    let mut calls = new_table();
+    let fail = |calls: &mut Calls, now: Nanos, call_id: u64| {
+        let (outcome, cause, report) = (Outcome::Failed, Cause::Untold, LoadReport::default());
+        let event = ExchangeEvent::AttemptEnded { call_id, outcome, cause, report };
+        calls.handle_exchange_event(now, 0, event);
+        calls.dispatch_queued_events(now);
+    };
+    for call_id in 1..=3 {
+        send_set_up(&mut calls, START, 7, call_id, false);
+        fail(&mut calls, START, call_id);
+    }
+    let failed_at = START + 20 * MS;
+    send_set_up(&mut calls, START, 7, 9, false);
+    fail(&mut calls, failed_at, 9);
+    let mut commands = run_until(&mut calls, failed_at + 10 * MS);
+    fail(&mut calls, failed_at + 10 * MS, 9);
+    commands.extend(run_until(&mut calls, failed_at + 500 * MS));
+    commands.retain(|(_, command)| matches!(command, Command::RequestExchange { call_id: 9, .. }));
+    let sent = sent_set_ups(&commands);
+    assert_eq!(sent, [(0, 0), (failed_at + 50 * MS, 0)], "the exchange is at fault: one more attempt");
+}
