--- a/dillhold/src/engine/caller_close.rs
+++ b/dillhold/src/engine/caller_close.rs
@@ -99,7 +99,6 @@
         while self.buffer_bytes > self.bounds.max_buffered_bytes {
             let Some((class, conn_id)) = self.next_to_shed() else { return };
             if class == ShedClass::Open {
-                self.calls.counters.increment("errors set-ups failed for want of memory");
                 self.calls.fail_open_set_ups(self.now, conn_id);
                 self.stop_reading(conn_id, CloseReason::OutOfMemory);
                 self.count_buffers(conn_id);
