--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -161,7 +161,6 @@
     let (_, mut module, seed) = launch.and_then(|m| NameTable::from_launch(&m)).map_err(|e| e.to_string())?;
     module.validate().map_err(|e| format!("configuration: settings: {e}"))?;
     module.release_wait += SOCKET_DELAY_ALLOWANCE;
-    module.second_answer_wait = SOCKET_DELAY_ALLOWANCE;
     let classes = settings["grades"].as_array().into_iter().flatten();
     let permissions = &settings["permissions"];
     let report_field =
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1102,9 +1102,6 @@
         if call.final_answer_given {
             return self.remove_if_ended(id);
         }
-        if exchange_fault {
-            call.not_before = call.not_before.max(now + self.settings.second_answer_wait);
-        }
         // An exchange fault or a broken connection does not rule out the same route for the next attempt.
         call.attempted_exchanges
             .retain(|x| *x != attempt.exchange || !exchange_fault && outcome != Outcome::Cut);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -118,9 +118,6 @@
     pub max_list_age: Nanos,
     /// For this long after an attempt timed out, was cut or was cancelled, its resources may still be in use.
     pub release_wait: Nanos,
-    /// For this long after an exchange failed an attempt, the same answer may come a second time (0: never). The next
-    /// attempt of the call waits for that, as an answer does not tell which attempt it is for.
-    pub second_answer_wait: Nanos,
     /// An unanswered set-up is retransmitted after this time and then at doubling intervals (0: never).
     pub retransmit_interval: Nanos,
     /// No set-up may be sent to an exchange later than this after a list update has it as draining or gone.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -291,7 +291,6 @@
             list_on_request: info.registry_mode.as_deref() == Some("on_request"),
             max_list_age: info.rules.ask_within,
             release_wait: family.release,
-            second_answer_wait: 0,
             retransmit_interval: family.resend,
             drain_grace: info.rules.drain_grace,
             answer_slack: info.rules.answer_slack,
