--- a/src/pause_detector.rs
+++ b/src/pause_detector.rs
@@ -1,8 +1,8 @@
 //! Detects pauses of this process. A timer of its own, the watch, expires in short intervals while calls are
 //! offered: one that is overdue when an event is handled shows that the process stood still since it was due.
 //!
-//! The timers of calls are not used for this. They are dropped with their call, so that their number is bounded
-//! by the calls that are open.
+//! The timers of calls are not used for this. They are dropped with their call, so that their number is
+//! bounded by the calls that are open.
 
 use crate::interface::{nanos_to_secs, secs_to_nanos, Nanos};
 
