--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,8 +18,9 @@
 class Platform(threading.Thread):
     """Kills the call controller once it holds more memory than its limit, as the deployment page says."""
 
-    def __init__(self, controller):
+    def __init__(self, controller, record):
         super().__init__(daemon=True)
+        self.record = record
         self.controller, self.peak, self.stopped, self.killed = controller, 0.0, False, None
 
     def run(self):
@@ -31,6 +32,7 @@
             if self.peak > MEMORY_MB and self.killed is None:
                 self.killed = self.peak
                 self.controller.process.kill()
+                self.record(f"platform: {self.peak:.1f} MB held, limit {MEMORY_MB} MB: the call controller was killed")
             time.sleep(0.005)
 
 
@@ -45,7 +47,7 @@
     controller.start()
     if not await controller.ready():
         return NOT_RUN, "the call controller was not ready"
-    platform = Platform(controller)
+    platform = Platform(controller, record)
     platform.start()
 
     caller = await Caller(record, "usual").open(controller.address)
