Review stand-ins: a script that is killed or blocks leaves no process either

Cause: after SIGKILL of a script its call controller lived on, and a call that blocks would have outlasted the limit of 115 s.

Change: the system kills the child with the script (parent-death signal), and an alarm ends a script after 117 s. No check, bound or disruption changed.

--- a/review/common-2/kit.py
+++ b/review/common-2/kit.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import resource
@@ -25,6 +26,15 @@
 DRAIN_GRACE_S, SOCKET_ALLOWANCE_S = 0.5, 0.05
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_script():
+    """Runs in a child: the system kills it if this script is killed. The setting outlasts exec."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def unix_ms():
     return int(time.time() * 1000)
 
@@ -394,7 +404,7 @@
                    TMPDIR=temporary)
         log = open(os.path.join(self.folder, f"log-{self.starts}"), "w")
         self.process = subprocess.Popen(["/bin/sh", "-c", self.command], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
-                                        stdout=log, stderr=log)
+                                        stdout=log, stderr=log, preexec_fn=end_with_script)
         self.record(f"platform started the call controller, process {self.process.pid}")
 
     def signal(self, number):
@@ -451,6 +461,8 @@
         raise SystemExit(NOT_RUN)
 
     signal.signal(signal.SIGTERM, ended)
+    signal.signal(signal.SIGALRM, ended)
+    signal.alarm(117)  # also out of a call that blocks
     try:
         verdict, text = asyncio.run(limited())
     except (Exception, SystemExit, KeyboardInterrupt) as e:  # the case could not run
