Bound what a turn takes in from callers, and send releases of unknown calls at a limited rate

Cause: every message of every connection was carried out in the turn it came in, and its commands collected before the first one was carried out. The release of an unknown call, 15 bytes, becomes a request to every exchange: 360,000 commands in one turn with two exchanges (the new size 'commands').

Change: input has a cost, a turn a budget and a connection a share of it (engine/input_budget.rs); the rest stays in the socket. Releases of unknown calls wait in bounded queues, connections take turns, confirmed callers come first, and they are sent at a limited rate (call/unknown_releases.rs).

--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -46,6 +46,8 @@
         call_id: u64,
         /// Q.850 cause.
         cause: u8,
+        /// Whether the connection is confirmed to be a caller's.
+        confirmed_caller: bool,
     },
 }
 
@@ -188,6 +190,8 @@
     IntervalEnd,
     /// Discard expired ids of ended calls.
     ForgetEndedCalls,
+    /// Send queued releases of unknown calls to the exchanges.
+    ReleaseUnknownCalls,
     /// A deadline of the engine.
     Engine(EngineDeadline),
 }
@@ -211,7 +215,10 @@
             | Deadline::AttemptTimeout(_, handle, _)
             | Deadline::FinalAnswer(_, handle) => Some(DeadlineOwner::SetUp(*handle)),
             Deadline::Engine(deadline) => deadline.connection().map(DeadlineOwner::Connection),
-            Deadline::MachineEnded(_) | Deadline::IntervalEnd | Deadline::ForgetEndedCalls => None,
+            Deadline::MachineEnded(_)
+            | Deadline::IntervalEnd
+            | Deadline::ForgetEndedCalls
+            | Deadline::ReleaseUnknownCalls => None,
         }
     }
 }
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -12,6 +12,7 @@
 mod recent;
 mod set_ups;
 mod standing;
+mod unknown_releases;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -30,6 +31,7 @@
 use recent::{EndedCall, EndedCalls, NumberHandles};
 use set_ups::Rejection;
 pub use standing::GroupState;
+use unknown_releases::{CallerRelease, UnknownReleases};
 
 /// How long releases of a machine are still accepted after the journal reported that its process ended, as it
 /// is gone or was restarted. A machine that stops after a drain may leave its connections open without
@@ -123,6 +125,7 @@
     ended_calls: EndedCalls,
     /// Whether [`Deadline::ForgetEndedCalls`] is scheduled.
     forget_scheduled: bool,
+    unknown_releases: UnknownReleases,
     number_handles: NumberHandles,
     /// Measures calls and groups, if the operator has enabled it.
     meter: Option<Meter>,
@@ -170,6 +173,7 @@
             calls_by_connection: HashMap::new(),
             ended_calls: EndedCalls::new(bounds.max_standing_calls),
             forget_scheduled: false,
+            unknown_releases: UnknownReleases::new(bounds.max_standing_calls),
             // A caller that redials does so within the longest deadline.
             number_handles: NumberHandles::new(longest_deadline, bounds.max_standing_calls),
             meter: None,
@@ -233,6 +237,7 @@
         self.decision_module.reconfigure(settings.module.clone());
         self.directory.update_zones(raw_settings);
         self.ended_calls.set_max_calls(bounds.max_standing_calls);
+        self.unknown_releases.set_max_queued(bounds.max_standing_calls);
         (self.module_settings, self.settings, self.bounds) = (settings.module.clone(), settings, bounds);
     }
 
@@ -276,6 +281,8 @@
             ("open set-ups", self.open_set_ups),
             ("standing calls", self.standing_count()),
             ("ended calls", self.ended_calls.len()),
+            ("commands", self.commands.len()),
+            ("releases of unknown calls", self.unknown_releases.len()),
             ("dialled numbers", self.number_handles.len()),
             ("calls in the module", module.calls),
             ("routes in the module", module.routes),
@@ -323,7 +330,10 @@
                 }
                 self.reject_set_up(now, conn, id, Rejection::Invalid)
             }
-            CallerRequest::Release { call_id, cause } => self.handle_caller_release(now, call_id, cause),
+            CallerRequest::Release { call_id, cause, confirmed_caller } => {
+                let release = CallerRelease { call_id, cause };
+                self.handle_caller_release(now, conn, release, confirmed_caller)
+            }
         }
     }
 
@@ -451,6 +461,7 @@
                 self.ended_calls.remove_expired(now);
                 self.schedule_forget();
             }
+            Deadline::ReleaseUnknownCalls => self.send_unknown_releases(now),
             Deadline::Engine(_) => {}
         }
     }
--- a/dillhold/src/call/recent.rs
+++ b/dillhold/src/call/recent.rs
@@ -54,6 +54,11 @@
         ids.insert(now, call_id, ended_call.retired);
     }
 
+    /// Forgets a call that was not sent on.
+    pub fn forget(&mut self, call_id: u64) {
+        self.never_sent.retired_by_id.remove(&call_id);
+    }
+
     /// Whether this call ended recently.
     pub fn contains(&self, call_id: u64) -> bool {
         [&self.sent_on, &self.never_sent].iter().any(|ids| ids.retired_by_id.contains_key(&call_id))
--- a/dillhold/src/call/set_ups.rs
+++ b/dillhold/src/call/set_ups.rs
@@ -4,6 +4,7 @@
 use pitchgw::interface::{Event, ExchangeId, Nanos, NewCall, Outcome};
 
 use super::recent::EndedCall;
+use super::unknown_releases::CallerRelease;
 use super::{
     unix_ms, Call, CallerConnId, CallerNotification, Calls, Conduct, Deadline, ExchangeRequest, SetUp,
 };
@@ -205,13 +206,20 @@
     }
 
     /// Cancels an open set-up or releases a standing call at the caller's request.
-    pub(super) fn handle_caller_release(&mut self, now: Nanos, id: u64, cause: u8) -> Conduct {
+    pub(super) fn handle_caller_release(
+        &mut self,
+        now: Nanos,
+        conn: CallerConnId,
+        release: CallerRelease,
+        confirmed_caller: bool,
+    ) -> Conduct {
+        let CallerRelease { call_id: id, cause } = release;
         let Some(call) = self.calls_by_id.get(&id) else {
             // The id of a call that ended recently only crossed its end and is ignored.
             if self.ended_calls.contains(id) {
                 return Conduct::Sound;
             }
-            self.release_unknown_call(now, id, cause);
+            self.queue_unknown_release(now, conn, release, confirmed_caller);
             return Conduct::UnknownRelease;
         };
         if call.awaits_final_answer {
@@ -226,12 +234,40 @@
     }
 
     /// Releases a call that this process does not know. It may be from before its start and stand at any exchange.
-    fn release_unknown_call(&mut self, now: Nanos, id: u64, cause: u8) {
+    fn queue_unknown_release(
+        &mut self,
+        now: Nanos,
+        conn: CallerConnId,
+        release: CallerRelease,
+        confirmed_caller: bool,
+    ) {
         self.counters.increment("taken releases of unknown calls");
-        self.remember_ended_call(now, id, EndedCall { retired: true, sent_on: false });
-        let exchanges: Vec<ExchangeId> = self.directory.machines().map(|(id, _)| id).collect();
-        for exchange in exchanges {
-            self.request_exchange(exchange, id, ExchangeRequest::ReleaseUnknown(cause));
+        self.remember_ended_call(now, release.call_id, EndedCall { retired: true, sent_on: false });
+        if let Some(dropped) = self.unknown_releases.push(conn, release, confirmed_caller) {
+            // If its caller repeats it, it is not taken for one that crossed the end of its call.
+            self.ended_calls.forget(dropped.call_id);
+            self.counters.increment("errors releases of unknown calls dropped");
+            tracing::debug!(
+                call = format_args!("{:016x}", dropped.call_id),
+                "release of an unknown call dropped"
+            );
+        }
+        if !self.unknown_releases.send_scheduled {
+            self.send_unknown_releases(now);
+        }
+    }
+
+    /// Sends the releases of unknown calls that can be sent now, each to all exchanges.
+    pub(super) fn send_unknown_releases(&mut self, now: Nanos) {
+        while let Some(CallerRelease { call_id, cause }) = self.unknown_releases.pop(now) {
+            let exchanges: Vec<ExchangeId> = self.directory.machines().map(|(id, _)| id).collect();
+            for exchange in exchanges {
+                self.request_exchange(exchange, call_id, ExchangeRequest::ReleaseUnknown(cause));
+            }
+        }
+        self.unknown_releases.send_scheduled = self.unknown_releases.len() > 0;
+        if self.unknown_releases.send_scheduled {
+            self.deadlines.add(self.unknown_releases.next_send_at(), Deadline::ReleaseUnknownCalls);
         }
     }
 
--- a/dillhold/src/engine/caller_close.rs
+++ b/dillhold/src/engine/caller_close.rs
@@ -60,7 +60,7 @@
         let Some(conn) = self.conns.get_mut(&conn_id) else { return };
         let Peer::Caller(caller) = &mut conn.peer else { return };
         conn.reading_stopped = Some(reason);
-        caller.read_buffer.clear();
+        caller.discard_input();
         tracing::info!(conn = conn_id, ?reason, "caller is not read any more: closing once it is answered");
         self.needs_flush.insert(conn_id);
     }
@@ -68,6 +68,9 @@
     /// Closes a connection on which nothing can come any more, once it may be closed. Returns whether it was closed.
     pub(super) fn close_finished_caller(&mut self, conn_id: ConnId) -> bool {
         let Some(conn) = self.conns.get(&conn_id).filter(|conn| !conn.write_closed) else { return false };
+        if conn.has_deferred_input() {
+            return false;
+        }
         match (conn.reading_stopped, conn.read_closed) {
             (Some(reason), _) => self.close_settled_caller(conn_id, reason),
             (None, true) => self.close_settled_caller(conn_id, CloseReason::Finished),
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -22,6 +22,7 @@
 mod discovery;
 mod exchanges;
 mod failure_detector;
+mod input_budget;
 mod journal;
 mod leave;
 mod liveness;
@@ -48,6 +49,7 @@
 use callers::Callers;
 use close_reason::CloseReason;
 use exchanges::ExchangeLink;
+use input_budget::InputBudget;
 use journal::JournalClient;
 use liveness::LivenessCheck;
 use release_delivery::ReleaseQueue;
@@ -132,6 +134,11 @@
     fn is_read(&self) -> bool {
         !self.connecting && !self.read_closed && (self.reading_stopped.is_none() || self.write_closed)
     }
+
+    /// Whether requests of a caller wait in its read buffer for a later turn.
+    fn has_deferred_input(&self) -> bool {
+        matches!(&self.peer, Peer::Caller(caller) if caller.deferred)
+    }
 }
 
 /// The call controller; the module documentation describes how to drive it.
@@ -146,6 +153,7 @@
     outputs: VecDeque<Output>,
     /// Size of the buffers of all connections.
     buffer_bytes: usize,
+    input_budget: InputBudget,
     callers: Callers,
     release_queue: ReleaseQueue,
     links: BTreeMap<ExchangeId, ExchangeLink>,
@@ -172,6 +180,7 @@
             needs_flush: BTreeSet::new(),
             outputs: VecDeque::from([Output::Listen(config.listen)]),
             buffer_bytes: 0,
+            input_budget: InputBudget::default(),
             callers: Callers::default(),
             release_queue: ReleaseQueue::default(),
             links: BTreeMap::new(),
@@ -187,6 +196,7 @@
     /// Begins a turn. Everything in it happens at time `now`.
     pub fn begin_turn(&mut self, now: Nanos) {
         self.now = now;
+        self.process_deferred_input();
     }
 
     /// The shortest interval between turns that the decision module is promised.
@@ -194,9 +204,10 @@
         self.calls.settings().module.tick
     }
 
-    /// The time of the earliest deadline.
+    /// When the next turn is due without further events.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        self.calls.deadlines.earliest()
+        let deferred = Some(self.now).filter(|_| self.input_budget.has_deferred_input());
+        deferred.or(self.calls.deadlines.earliest())
     }
 
     /// Handles the deadlines that have passed. Input must be reported before: after this process was suspended, a
@@ -399,6 +410,11 @@
         }
     }
 
+    /// Whether a connection is to be read in this turn. What is not read stays in the socket.
+    pub fn wants_input(&self, conn_id: ConnId) -> bool {
+        self.conns.get(&conn_id).is_some_and(|conn| conn.is_read() && !conn.has_deferred_input())
+    }
+
     /// The buffer for the next input of a connection; `None` if it is not to be read any more.
     pub fn read_buffer(&mut self, conn_id: ConnId) -> Option<&mut [u8]> {
         self.conns.get(&conn_id).filter(|c| c.is_read())?;
@@ -412,14 +428,22 @@
         read_buffer.advance(count);
         if let Some(conn) = self.conns.get_mut(&conn_id) {
             conn.last_read_at = now;
-            if conn.write_closed {
-                return self.discard_input(conn_id);
+            if let (Peer::Caller(caller), true) = (&mut conn.peer, conn.write_closed) {
+                return caller.discard_input();
             }
         }
+        if self.conns.get(&conn_id).is_some_and(Conn::has_deferred_input) {
+            return;
+        }
+        self.process_input(conn_id);
+    }
+
+    /// Processes the input of a connection, which is closed if that is not possible.
+    fn process_input(&mut self, conn_id: ConnId) {
         self.needs_flush.insert(conn_id);
         // A panic only closes the connection whose input caused it. A caller gets the answers to its set-ups before;
         // nothing more is sent to an exchange whose messages cannot be parsed.
-        if catch_unwind(AssertUnwindSafe(|| self.process_input(conn_id))).unwrap_or(false) {
+        if catch_unwind(AssertUnwindSafe(|| self.pass_input_to_session(conn_id))).unwrap_or(false) {
             return;
         }
         if self.is_caller(conn_id) {
@@ -430,10 +454,12 @@
     }
 
     /// Passes input to its session. Returns false if the connection has to be closed.
-    fn process_input(&mut self, conn_id: ConnId) -> bool {
+    fn pass_input_to_session(&mut self, conn_id: ConnId) -> bool {
         let Some(conn) = self.conns.get_mut(&conn_id) else { return true };
         match &mut conn.peer {
-            Peer::Caller(caller) => caller.process_input(self.now, conn_id, &mut self.calls).is_ok(),
+            Peer::Caller(caller) => {
+                self.input_budget.process(self.now, conn_id, caller, &mut self.calls).is_ok()
+            }
             Peer::Exchange(id) => {
                 let id = *id;
                 self.process_exchange_input(id, conn_id)
@@ -479,14 +505,6 @@
         );
     }
 
-    /// Discards the input of a connection whose writing side is closed.
-    fn discard_input(&mut self, conn_id: ConnId) {
-        if let Some((read_buffer, _)) = self.buffers(conn_id) {
-            let count = read_buffer.unread().len();
-            read_buffer.consume(count);
-        }
-    }
-
     fn handle_disconnect(&mut self, conn_id: ConnId, connect_failed: bool, refused: bool) {
         let Some(conn) = self.remove_conn(conn_id) else { return };
         match conn.peer {
@@ -576,7 +594,8 @@
             self.close_finished_caller(conn_id);
         }
         let conn = self.conns.get(&conn_id)?;
-        let paused = matches!(conn.peer, Peer::Caller(_)) && unsent > PAUSE_READ_BYTES;
+        let paused =
+            matches!(conn.peer, Peer::Caller(_)) && unsent > PAUSE_READ_BYTES || conn.has_deferred_input();
         Some(Interest { readable: conn.is_read() && !paused, writable: unsent > 0 })
     }
 
--- a/dillhold/src/net/mod.rs
+++ b/dillhold/src/net/mod.rs
@@ -321,6 +321,9 @@
         let Some(conn) = self.conns.get_mut(&conn_id) else { return };
         let max_reads = if conn.is_caller { MAX_CALLER_READS_PER_TURN } else { MAX_EXCHANGE_READS_PER_TURN };
         for _ in 0..max_reads {
+            if !self.engine.wants_input(conn_id) {
+                return;
+            }
             let Some(buffer) = self.engine.read_buffer(conn_id) else { return };
             match io::Read::read(&mut conn.stream, buffer) {
                 Ok(0) => return self.engine.read_closed(conn_id),
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -28,6 +28,22 @@
 /// Most circuits that one call can seize on a group.
 const MAX_CALL_WIDTH: u32 = 1024;
 
+/// The processing that input takes, in units of about a microsecond.
+pub type Cost = u32;
+/// Bytes of a message that cost one unit, beside the unit that each message costs.
+const BYTES_PER_COST_UNIT: usize = 256;
+/// What a set-up costs in addition: it is entered in the tables, routed and answered.
+const SET_UP_COST: Cost = 8;
+
+/// The cost of a message.
+fn message_cost(message_kind: u8, message_bytes: usize) -> Cost {
+    let for_bytes = 1 + (message_bytes / BYTES_PER_COST_UNIT) as Cost;
+    match message_kind {
+        kind::SET_UP => for_bytes + SET_UP_COST,
+        _ => for_bytes,
+    }
+}
+
 /// How likely it is that a connection has a caller, in ascending order. Other clients connect too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CallerLikelihood {
@@ -78,6 +94,8 @@
     pub last_message_at: Nanos,
     /// Since when the message being received has been incomplete.
     pub incomplete_since: Option<Nanos>,
+    /// Whether complete messages wait in the read buffer until the connection has an allowance again.
+    pub deferred: bool,
     /// Releases that the caller has not acknowledged, oldest first: when they were sent, call id and cause.
     unacked_releases: VecDeque<(Nanos, u64, u8)>,
     /// Received bytes.
@@ -87,18 +105,27 @@
 }
 
 impl CallerSession {
-    /// Processes the messages in the read buffer. After an error the connection has to be closed.
+    /// Processes the messages in the read buffer as far as the allowance goes, and deducts their costs from it. After an
+    /// error the connection has to be closed.
     pub fn process_input(
         &mut self,
         now: Nanos,
         conn: CallerConnId,
         calls: &mut Calls,
+        allowance: &mut Cost,
     ) -> Result<(), ParseError> {
         let (out, unacked_releases) = (&mut self.write_buffer, &mut self.unacked_releases);
         let (last_message_at, client) = (&mut self.last_message_at, &mut self.client);
         let (incomplete_since, mut completed) = (self.incomplete_since, false);
+        let deferred = &mut self.deferred;
+        *deferred = false;
         process_messages(&mut self.read_buffer, |unread| {
             let Some((message, consumed)) = binary::parse(unread)? else { return Ok(None) };
+            if *allowance == 0 {
+                *deferred = true;
+                return Ok(None);
+            }
+            *allowance = allowance.saturating_sub(message_cost(message.kind, consumed));
             (*last_message_at, completed) = (now, true);
             match message.kind {
                 kind::SET_UP => {
@@ -108,7 +135,8 @@
                 }
                 kind::RELEASE => {
                     let (call_id, cause) = (message.call_id, message.cause().unwrap_or(16));
-                    let request = CallerRequest::Release { call_id, cause };
+                    let confirmed_caller = client.likelihood == Some(CallerLikelihood::Confirmed);
+                    let request = CallerRequest::Release { call_id, cause, confirmed_caller };
                     let conduct = calls.handle_caller_request(now, conn, request);
                     client.record(conduct, CallerLikelihood::Released, calls.max_standing_calls());
                 }
@@ -136,10 +164,17 @@
             Ok(Some(consumed))
         })?;
         self.incomplete_since =
-            incomplete_message_since(&self.read_buffer, incomplete_since.filter(|_| !completed), now);
+            incomplete_message_since(&self.read_buffer, incomplete_since.filter(|_| !completed), now)
+                .filter(|_| !self.deferred);
         Ok(())
     }
 
+    /// Discards the input that was not processed.
+    pub fn discard_input(&mut self) {
+        self.read_buffer.clear();
+        self.deferred = false;
+    }
+
     /// How likely it is that the connection has a caller; `None` if all that is known of its client is bad.
     pub fn likelihood(&self) -> Option<CallerLikelihood> {
         let unknown = Some(CallerLikelihood::Unknown).filter(|_| self.client.bad_messages == 0);
--- a/dillhold/tests/calls.rs
+++ b/dillhold/tests/calls.rs
@@ -372,7 +372,11 @@
     let _ = calls.commands.drain(..);
     for call_id in 3_000..5_000 {
         request(&mut calls, long_wait(call_id));
-        calls.handle_caller_request(START, 7, CallerRequest::Release { call_id, cause: 16 });
+        calls.handle_caller_request(
+            START,
+            7,
+            CallerRequest::Release { call_id, cause: 16, confirmed_caller: false },
+        );
         calls.dispatch_queued_events(START);
     }
     for call_id in 5_000..7_000 {
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -638,9 +638,13 @@
     assert_eq!(run(), run());
 }
 
-fn deadline_count(harness: &EngineHarness) -> usize {
+fn table_size(harness: &EngineHarness, table: &str) -> usize {
     let sizes = harness.engine.table_sizes().0;
-    sizes.iter().find(|(name, _)| *name == "deadlines").expect("the size of the queue").1
+    sizes.iter().find(|(name, _)| *name == table).expect("the size of the table").1
+}
+
+fn deadline_count(harness: &EngineHarness) -> usize {
+    table_size(harness, "deadlines")
 }
 
 /// Guards against memory that grows with every connection made: the first check of a connection stayed among the
@@ -677,8 +681,7 @@
 }
 
 fn buffer_bytes(harness: &EngineHarness) -> usize {
-    let sizes = harness.engine.table_sizes().0;
-    sizes.iter().find(|(name, _)| *name == "bytes of buffers").expect("the size of the buffers").1
+    table_size(harness, "bytes of buffers")
 }
 
 /// Half of a set-up of nearly the greatest size.
@@ -888,3 +891,78 @@
     let exchange = harness.establish(1);
     assert!(harness.take_written(exchange).is_empty(), "the exchange has heard it");
 }
+
+/// Passes input of several connections in one turn, as far as they are read. Returns the number of commands that it
+/// caused.
+fn receive_at_once(harness: &mut EngineHarness, input: &[(ConnId, Vec<u8>)]) -> usize {
+    harness.engine.begin_turn(harness.now);
+    for (conn, bytes) in input {
+        for part in bytes.chunks(64) {
+            let Some(buffer) = harness.engine.read_buffer(*conn) else { continue };
+            buffer[..part.len()].copy_from_slice(part);
+            harness.engine.bytes_read(*conn, part.len());
+        }
+    }
+    let commands = table_size(harness, "commands");
+    harness.engine.handle_deadlines();
+    harness.finish_turn();
+    commands
+}
+
+/// Guards against a process that is killed for its memory: a crowd that released unknown calls made it collect a command
+/// for each release and exchange before the first of them was carried out.
+#[test]
+fn crowd_that_releases_unknown_calls_causes_a_bounded_number_of_commands() {
+    const MAX_COMMANDS: usize = 1_000;
+    const MAX_UNKNOWN_RELEASES: usize = 4_096;
+    let mut harness = EngineHarness::with_limits(1024, 32);
+    let exchange = harness.establish(1);
+    let crowd: Vec<ConnId> = (0..300).map(|_| harness.accept_caller()).collect();
+    let releases_of = |conn: &ConnId| (0..600).flat_map(|n| release_message((conn << 20) + n)).collect();
+    let input: Vec<(ConnId, Vec<u8>)> = crowd.iter().map(|conn| (*conn, releases_of(conn))).collect();
+    let commands = receive_at_once(&mut harness, &input);
+    assert!(commands <= MAX_COMMANDS, "{commands} commands in one turn");
+    for _ in 0..400 {
+        harness.now += 5 * MS;
+        let commands = receive_at_once(&mut harness, &[]);
+        assert!(commands <= MAX_COMMANDS, "{commands} commands in a later turn");
+        assert!(table_size(&harness, "releases of unknown calls") <= MAX_UNKNOWN_RELEASES);
+    }
+    let to_exchange = String::from_utf8(harness.take_written(exchange)).unwrap();
+    let byes = to_exchange.matches("BYE ").count();
+    assert!((400..=1_000).contains(&byes), "{byes} requests to an exchange in 2 s");
+}
+
+/// Guards against callers whose releases and set-ups wait in line at the exchanges behind those of a client that sends at
+/// full speed.
+#[test]
+fn client_at_full_speed_does_not_delay_callers() {
+    const BURST_TURNS: u64 = 100;
+    const MAX_BYTES_AHEAD: usize = 1_024;
+    let mut harness = EngineHarness::with_limits(1024, 32);
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    establish_call(&mut harness, caller, exchange, 7);
+    let mut bad = harness.accept_caller();
+    let mut flood = ((1u64 << 40)..).map(release_message);
+    for turn in 0..2 * BURST_TURNS {
+        if turn % 4 == 0 {
+            harness.run_turn(|e| e.connection_lost(bad));
+            bad = harness.accept_caller();
+        }
+        harness.now += 5 * MS;
+        let unknown: Vec<u8> = flood.by_ref().take(1_000).flatten().collect();
+        let requests = [release_message(1_000 + turn), set_up_message(5_000 + turn, b"view")].concat();
+        receive_at_once(&mut harness, &[(bad, unknown), (caller, requests)]);
+        let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
+        let invite = to_exchange.find("INVITE ").expect("the set-up is not delayed");
+        let release = to_exchange.find(&format!("Call-ID: {:016x}\r\nCSeq: 1000 BYE", 1_000 + turn));
+        if turn >= BURST_TURNS {
+            assert!(invite <= MAX_BYTES_AHEAD, "{invite} bytes ahead of a set-up");
+            assert!(
+                release.is_some_and(|at| at <= MAX_BYTES_AHEAD),
+                "{release:?}: confirmed callers come first"
+            );
+        }
+        harness.receive(exchange, &ok_response(5_000 + turn));
+    }
+}
