Let only its own connection give up an open set-up

Cause: a release ended an open set-up whatever connection it came on. Trace of the case: the CANCEL follows the foreign release by 1 ms, nothing else names the call.

Change: an open set-up belongs to the connection that it came on; a release from elsewhere is a bad message without effect. A call that stands may still be released on any connection.

--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -58,7 +58,7 @@
     Sound,
     /// The release of a call that this process does not know. After a start, callers release calls from before it.
     UnknownRelease,
-    /// No caller sends such a request: it is invalid, or it has the id of another call.
+    /// No caller sends such a request: it is invalid, or it has the id of another call or of another connection's set-up.
     Bad,
 }
 
--- a/dillhold/src/call/set_ups.rs
+++ b/dillhold/src/call/set_ups.rs
@@ -205,7 +205,8 @@
         );
     }
 
-    /// Cancels an open set-up or releases a standing call at the caller's request.
+    /// Cancels an open set-up or releases a standing call at the caller's request. An open set-up is cancelled only on the
+    /// connection that it came on.
     pub(super) fn handle_caller_release(
         &mut self,
         now: Nanos,
@@ -223,6 +224,11 @@
             return Conduct::UnknownRelease;
         };
         if call.awaits_final_answer {
+            // No connection owns a call that stands, but an open set-up belongs to the one that awaits its answer.
+            if call.caller_conn != conn {
+                self.counters.increment("taken releases of foreign set-ups");
+                return Conduct::Bad;
+            }
             self.counters.increment("taken set-ups given up");
             self.end_open_set_up(now, id, true);
         } else if let Some(attempt) = call.answered_attempt {
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -966,3 +966,25 @@
         harness.receive(exchange, &ok_response(5_000 + turn));
     }
 }
+
+/// Guards against a set-up that is never answered: another client released its id.
+#[test]
+fn open_set_up_is_given_up_on_its_own_connection_only() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller, bad) = (harness.establish(1), harness.accept_caller(), harness.accept_caller());
+    harness.receive_set_up(caller, 7);
+    harness.receive_set_up(caller, 8);
+    harness.take_written(exchange);
+    let foreign_set_up = set_up_message_with(7, "3000", b"another description");
+    harness.receive(bad, &[foreign_set_up, release_message(7)].concat());
+    harness.receive(caller, &release_message(8));
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
+    assert!(!to_exchange.contains(&format!("{:016x}", 7)), "{to_exchange}");
+    assert!(to_exchange.starts_with("CANCEL ") && to_exchange.contains(&format!("{:016x}", 8)));
+    assert_eq!(take_notifications(&mut harness, bad), [(binary::kind::RELEASE, 7, Some(41))]);
+    harness.receive(exchange, &ok_response(7));
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::ANSWER, 7, None)]);
+    // No connection owns a call that stands.
+    harness.receive(bad, &release_message(7));
+    assert!(harness.take_written(exchange).windows(4).any(|w| w == b"BYE "));
+}
