Keep a release queued until a confirmed caller was sent it or its time is over

Cause: copies sent to clients that may be callers counted as deliveries. A release was done after 64 of them, each was kept as unacknowledged, and the close of its connection queued the release once more.

Change: a release stands in the queue once, and leaves it only for a confirmed caller or 8 s after its first copies. Connections do not keep copies.

--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -510,6 +510,9 @@
         match conn.peer {
             Peer::Caller(caller) => {
                 self.callers.count -= 1;
+                if caller.received_release_copies {
+                    self.release_queue.connection_closed(conn_id);
+                }
                 self.calls.caller_disconnected(self.now, conn_id);
                 let undelivered = caller.into_undelivered(self.now);
                 for id in undelivered.answers {
--- a/dillhold/src/engine/release_delivery.rs
+++ b/dillhold/src/engine/release_delivery.rs
@@ -1,49 +1,64 @@
 //! On which connections a caller is told that its call was released.
 //!
 //! A release is sent on the connection of the call's set-up, otherwise on the newest connection with a confirmed caller:
-//! one that was sent an answer for a standing call. After a start nobody is confirmed at first. A release of a call
-//! from before then waits [`RELEASE_DELIVERY_INTERVAL`] for a confirmed caller. Without one it is sent on connections that
-//! may have a caller, the likeliest first, and again on others at every interval, until a caller is confirmed, it was
-//! sent on [`MAX_RELEASE_RECIPIENTS`] or [`RELEASE_DELIVERY_SPAN`] is over. One that was sent on none goes on waiting.
+//! one that was sent an answer for a standing call. After a start nobody is confirmed at first, and a release of a call
+//! from before is queued. It stands in the queue once, and leaves it only when a confirmed caller was sent it, or when
+//! [`RELEASE_DELIVERY_SPAN`] is over.
+//!
+//! Meanwhile copies are sent on connections that may have a caller, the likeliest first, after
+//! [`RELEASE_DELIVERY_INTERVAL`] and then on others at every interval, on [`MAX_COPIES`] open connections at most. A copy
+//! proves nothing: any client may have received it. The span begins with the first copy, so that a release that finds
+//! nobody goes on waiting.
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use pitchgw::interface::Nanos;
 
 use super::{ConnId, Engine, Peer};
-use crate::call::{CallerConnId, CallerNotification, Deadline, EngineDeadline};
+use crate::call::{CallerConnId, Deadline, EngineDeadline};
 use crate::clock::MS;
 
 /// How long a release waits for a confirmed caller, and for further connections after that. It must reach the caller
 /// within a second.
 const RELEASE_DELIVERY_INTERVAL: Nanos = 400 * MS;
-/// How long a release is sent on further connections after it was sent on the first ones.
+/// How long a release waits for a confirmed caller after its first copies were sent.
 const RELEASE_DELIVERY_SPAN: Nanos = 8_000 * MS;
-/// The number of connections that a release is sent on at each interval.
-const MAX_RECIPIENTS_PER_INTERVAL: usize = 16;
-/// The number of unconfirmed connections that a release is sent on in all.
-const MAX_RELEASE_RECIPIENTS: usize = 64;
+/// The number of connections that copies are sent on at each interval.
+const MAX_COPIES_PER_INTERVAL: usize = 16;
+/// The number of open connections that copies of a release were sent on.
+const MAX_COPIES: usize = 64;
 
 /// Releases that were not sent to a confirmed caller yet.
 #[derive(Default)]
 pub struct ReleaseQueue {
-    waiting: Vec<WaitingRelease>,
+    /// The releases by call id.
+    waiting: BTreeMap<u64, WaitingRelease>,
     /// Whether [`EngineDeadline::DeliverReleases`] is scheduled.
     delivery_scheduled: bool,
 }
 
 struct WaitingRelease {
-    call_id: u64,
     cause: u8,
-    first_sent_at: Option<Nanos>,
-    /// When it is sent on further connections.
-    next_delivery_at: Nanos,
-    /// The connections that it was sent on.
-    recipients: Vec<ConnId>,
+    first_copy_at: Option<Nanos>,
+    /// When copies are sent on further connections.
+    next_copies_at: Nanos,
+    /// The open connections that a copy was sent on.
+    copied_to: BTreeSet<ConnId>,
 }
 
 impl WaitingRelease {
-    fn is_done(&self, now: Nanos) -> bool {
-        let over = self.first_sent_at.is_some_and(|at| now >= at + RELEASE_DELIVERY_SPAN);
-        over || self.recipients.len() >= MAX_RELEASE_RECIPIENTS
+    fn is_over(&self, now: Nanos) -> bool {
+        self.first_copy_at.is_some_and(|at| now >= at + RELEASE_DELIVERY_SPAN)
+    }
+
+    /// The connections that are sent the next copies.
+    fn next_recipients(&self, possible_callers: &[ConnId]) -> Vec<ConnId> {
+        let count = MAX_COPIES.saturating_sub(self.copied_to.len()).min(MAX_COPIES_PER_INTERVAL);
+        if count == 0 {
+            return Vec::new();
+        }
+        let others = possible_callers.iter().filter(|conn_id| !self.copied_to.contains(conn_id));
+        others.copied().take(count).collect()
     }
 }
 
@@ -52,6 +67,13 @@
     pub fn len(&self) -> usize {
         self.waiting.len()
     }
+
+    /// Forgets a connection that was closed: what was sent on it may have reached nobody.
+    pub fn connection_closed(&mut self, conn_id: ConnId) {
+        for release in self.waiting.values_mut() {
+            release.copied_to.remove(&conn_id);
+        }
+    }
 }
 
 impl Engine {
@@ -66,24 +88,27 @@
         own_conn.or_else(|| self.conns.keys().rev().copied().find(is_confirmed))
     }
 
-    /// Keeps a release until there is somebody to send it to. Returns false if too many wait already.
+    /// Queues a release until a caller is confirmed. Returns false if too many wait already.
     pub(super) fn queue_release(&mut self, call_id: u64, cause: u8) -> bool {
+        if self.release_queue.waiting.contains_key(&call_id) {
+            return true;
+        }
         if self.release_queue.waiting.len() >= self.bounds.max_standing_calls {
             return false;
         }
-        self.release_queue.waiting.push(WaitingRelease {
-            call_id,
+        let release = WaitingRelease {
             cause,
-            first_sent_at: None,
-            next_delivery_at: self.now + RELEASE_DELIVERY_INTERVAL,
-            recipients: Vec::new(),
-        });
+            first_copy_at: None,
+            next_copies_at: self.now + RELEASE_DELIVERY_INTERVAL,
+            copied_to: BTreeSet::new(),
+        };
+        self.release_queue.waiting.insert(call_id, release);
         self.schedule_release_delivery();
         true
     }
 
     fn schedule_release_delivery(&mut self) {
-        let earliest = self.release_queue.waiting.iter().map(|release| release.next_delivery_at).min();
+        let earliest = self.release_queue.waiting.values().map(|release| release.next_copies_at).min();
         if let (Some(at), false) = (earliest, self.release_queue.delivery_scheduled) {
             self.release_queue.delivery_scheduled = true;
             self.calls.deadlines.add(at, Deadline::Engine(EngineDeadline::DeliverReleases));
@@ -92,47 +117,51 @@
 
     /// Sends the waiting releases to a caller that was just confirmed.
     pub(super) fn deliver_releases_to(&mut self, confirmed: ConnId) {
-        for release in std::mem::take(&mut self.release_queue.waiting) {
-            if !release.recipients.contains(&confirmed) {
-                self.send_release(confirmed, release.call_id, release.cause);
-            }
+        for (call_id, release) in std::mem::take(&mut self.release_queue.waiting) {
+            let has_copy = release.copied_to.contains(&confirmed);
+            let Some(Peer::Caller(caller)) = self.conns.get_mut(&confirmed).map(|c| &mut c.peer) else {
+                return;
+            };
+            caller.send_release(self.now, call_id, release.cause, has_copy);
         }
+        self.needs_flush.insert(confirmed);
     }
 
-    /// Sends the releases that have waited for long enough on further connections that may have a caller.
+    /// Sends further copies of the releases that have waited for long enough, and drops those whose time is over.
     pub(super) fn deliver_waiting_releases(&mut self) {
         self.release_queue.delivery_scheduled = false;
+        let now = self.now;
         let possible_callers = self.possible_callers();
-        for mut release in std::mem::take(&mut self.release_queue.waiting) {
-            if release.next_delivery_at <= self.now {
-                release.next_delivery_at = self.now + RELEASE_DELIVERY_INTERVAL;
-                self.deliver_release(&mut release, &possible_callers);
-            }
-            if !release.is_done(self.now) {
-                self.release_queue.waiting.push(release);
-            }
+        let mut waiting = std::mem::take(&mut self.release_queue.waiting);
+        for (call_id, release) in waiting.iter_mut().filter(|(_, release)| release.next_copies_at <= now) {
+            release.next_copies_at = now + RELEASE_DELIVERY_INTERVAL;
+            self.send_copies(*call_id, release, &possible_callers);
         }
+        let count = waiting.len();
+        waiting.retain(|_, release| !release.is_over(now));
+        for _ in waiting.len()..count {
+            self.calls.counters.increment("errors releases without a confirmed caller");
+        }
+        self.release_queue.waiting = waiting;
         self.schedule_release_delivery();
     }
 
-    fn deliver_release(&mut self, release: &mut WaitingRelease, possible_callers: &[ConnId]) {
-        let is_new = |conn_id: &&ConnId| !release.recipients.contains(conn_id);
-        let to: Vec<ConnId> =
-            possible_callers.iter().filter(is_new).copied().take(MAX_RECIPIENTS_PER_INTERVAL).collect();
+    fn send_copies(&mut self, call_id: u64, release: &mut WaitingRelease, possible_callers: &[ConnId]) {
+        let to = release.next_recipients(possible_callers);
         if to.is_empty() {
             return;
         }
-        let call = format_args!("{:016x}", release.call_id);
-        tracing::debug!(call, cause = release.cause, ?to, "release sent on other connections");
+        let call = format_args!("{call_id:016x}");
+        tracing::debug!(call, cause = release.cause, ?to, "copies of a release sent");
         for conn_id in &to {
-            self.send_release(*conn_id, release.call_id, release.cause);
+            let Some(Peer::Caller(caller)) = self.conns.get_mut(conn_id).map(|c| &mut c.peer) else {
+                continue;
+            };
+            caller.send_release_copy(call_id, release.cause);
+            self.needs_flush.insert(*conn_id);
         }
-        release.first_sent_at = release.first_sent_at.or(Some(self.now));
-        release.recipients.extend(to);
-    }
-
-    fn send_release(&mut self, conn_id: ConnId, call_id: u64, cause: u8) {
-        self.write_caller(conn_id, call_id, &CallerNotification::Released(cause));
+        release.first_copy_at = release.first_copy_at.or(Some(self.now));
+        release.copied_to.extend(to);
     }
 
     /// The connections that may have a caller, the likeliest first, and of those the newest.
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -90,6 +90,8 @@
     client: ClientRecord,
     /// Whether any notification was sent on it.
     pub notified: bool,
+    /// Whether a copy of a release that is kept elsewhere was sent on it.
+    pub received_release_copies: bool,
     /// When the last complete message was received.
     pub last_message_at: Nanos,
     /// Since when the message being received has been incomplete.
@@ -217,15 +219,31 @@
             CallerNotification::Failed => {
                 binary::write(out, kind::RELEASE, id, &[(param::CAUSE, &[CAUSE_TEMPORARY_FAILURE])])
             }
-            CallerNotification::Released(cause) => {
-                self.unacked_releases.push_back((now, id, *cause));
-                while self.unacked_releases.len() > MAX_UNACKED_RELEASES {
-                    self.unacked_releases.pop_front();
-                }
-                binary::write(out, kind::RELEASE, id, &[(param::CAUSE, &[*cause])]);
-            }
+            CallerNotification::Released(cause) => self.send_release(now, id, *cause, false),
+        }
+    }
+
+    /// Sends a release, and keeps it until it is acknowledged. It is not written again if a copy was sent before.
+    pub fn send_release(&mut self, now: Nanos, id: u64, cause: u8, has_copy: bool) {
+        self.unacked_releases.push_back((now, id, cause));
+        while self.unacked_releases.len() > MAX_UNACKED_RELEASES {
+            self.unacked_releases.pop_front();
+        }
+        if !has_copy {
+            self.write_release(id, cause);
         }
     }
+
+    /// Sends a copy of a release that is kept elsewhere.
+    pub fn send_release_copy(&mut self, id: u64, cause: u8) {
+        self.received_release_copies = true;
+        self.write_release(id, cause);
+    }
+
+    fn write_release(&mut self, id: u64, cause: u8) {
+        self.notified = true;
+        binary::write(self.write_buffer.buffer(), kind::RELEASE, id, &[(param::CAUSE, &[cause])]);
+    }
 }
 
 /// Notifications that a lost connection may not have delivered.
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -988,3 +988,47 @@
     harness.receive(bad, &release_message(7));
     assert!(harness.take_written(exchange).windows(4).any(|w| w == b"BYE "));
 }
+
+/// Guards against a release that is told to a crowd of idle clients in place of its caller, who came later than the crowd.
+#[test]
+fn release_waits_for_its_caller_beside_a_crowd_of_idle_clients() {
+    let mut harness = EngineHarness::with_limits(512, 32);
+    let exchange = harness.establish(1);
+    let crowd: Vec<ConnId> = (0..100).map(|_| harness.accept_caller()).collect();
+    harness.receive(exchange, &bye_request(99));
+    harness.advance(2_400 * MS);
+    let copies = crowd.iter().map(|conn| take_notifications(&mut harness, *conn).len()).collect::<Vec<_>>();
+    assert!(copies.iter().all(|count| *count <= 1) && copies.contains(&1), "{copies:?}");
+    harness.advance(3_000 * MS);
+    let caller = harness.accept_caller();
+    harness.receive_set_up(caller, 7);
+    harness.receive(exchange, &ok_response(7));
+    let expected = [(binary::kind::ANSWER, 7, None), (binary::kind::RELEASE, 99, Some(16))];
+    assert_eq!(take_notifications(&mut harness, caller), expected);
+    assert_eq!(table_size(&harness, "releases that wait for a caller"), 0);
+}
+
+/// Guards against copies that multiply: a connection that was sent one and closed within a second had the release queued
+/// again, once for each connection, and the caller was told of it as often.
+#[test]
+fn crowd_that_comes_and_goes_does_not_multiply_a_release() {
+    let mut harness = EngineHarness::with_limits(512, 32);
+    let exchange = harness.establish(1);
+    harness.receive(exchange, &[bye_request(98), bye_request(99)].concat());
+    for _ in 0..8 {
+        let crowd: Vec<ConnId> = (0..100).map(|_| harness.accept_caller()).collect();
+        harness.advance(700 * MS);
+        for conn in crowd {
+            harness.run_turn(|e| e.connection_lost(conn));
+        }
+        assert_eq!(table_size(&harness, "releases that wait for a caller"), 2);
+    }
+    let caller = harness.accept_caller();
+    harness.receive_set_up(caller, 7);
+    harness.receive(exchange, &ok_response(7));
+    let expected = [(binary::kind::ANSWER, 7, None), (12, 98, Some(16)), (12, 99, Some(16))];
+    assert_eq!(take_notifications(&mut harness, caller), expected);
+    // A connection that closes right after it was told has perhaps not received it: the next caller is told.
+    harness.run_turn(|e| e.connection_lost(caller));
+    assert_eq!(table_size(&harness, "releases that wait for a caller"), 2);
+}
