--- a/dillhold/src/engine/discovery.rs
+++ b/dillhold/src/engine/discovery.rs
@@ -1,5 +1,10 @@
-//! Requests to the journal service: when the next one is sent, and the backoff after each kind of failure. One
-//! request is outstanding at a time.
+//! Requests to the journal service: when the next one is sent, how long its answer may take, and the backoff after each
+//! kind of failure. One request is awaited at a time.
+//!
+//! A service that is silent and one that is slow look alike until the answer comes. A request whose answer times out is
+//! therefore repeated at once, before its updates count as known, but its own answer is read if it still comes
+//! ([`super::journal`]). It tells how long the service takes, and later requests are given as long
+//! ([`JournalPoll::record_response_time`]): otherwise a slow service would be asked again and again and never heard.
 //!
 //! - *awaiting answer*: a request is outstanding;
 //! - *idle*: an answer has come, and the next request is sent at once or, if the answer was early and empty or had
@@ -19,10 +24,13 @@
 const REPEATED_RETRY_DELAY: Nanos = 400 * MS;
 /// How long the service is asked to hold a request when it has no event.
 const REQUESTED_WAIT: Nanos = LONG_POLL_MS * MS;
-/// How long after [`REQUESTED_WAIT`] an answer times out. Events of a silent service count as known 2 s after the end
-/// of the wait; 0.6 s of that are left for a retry. A shorter timeout would send a slow service more requests and
-/// get no answer to any of them.
+/// How long after [`REQUESTED_WAIT`] an answer times out, if the service is not known to take longer. Events of a silent
+/// service count as known 2 s after the end of the wait; 0.6 s of that are left for a retry.
 const ANSWER_TIMEOUT_MARGIN: Nanos = 1_400 * MS;
+/// What a service that is known to take longer may take in addition.
+const SLOW_ANSWER_ALLOWANCE: Nanos = 500 * MS;
+/// The longest margin for a slow service: its updates count as known after 7 s, whatever it does.
+const MAX_ANSWER_TIMEOUT_MARGIN: Nanos = 5_000 * MS;
 
 /// The ways in which a request can fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,12 +74,14 @@
     state: State,
     /// Consecutive failed requests.
     failures: u32,
+    /// How long the service takes for an answer once it is due, as far as known.
+    response_time: Nanos,
 }
 
 impl JournalPoll {
     /// The state before the first request.
     pub fn new(address: SocketAddr) -> JournalPoll {
-        JournalPoll { address, state: State::Idle, failures: 0 }
+        JournalPoll { address, state: State::Idle, failures: 0, response_time: 0 }
     }
 
     /// The address of the service.
@@ -88,13 +98,45 @@
     /// Records a request. Returns the time at which its answer times out.
     pub fn request_sent(&mut self, now: Nanos) -> Nanos {
         self.state = State::AwaitingAnswer { since: now };
-        now + REQUESTED_WAIT + ANSWER_TIMEOUT_MARGIN
+        now + self.answer_timeout()
+    }
+
+    /// How long after a request its answer times out.
+    fn answer_timeout(&self) -> Nanos {
+        if self.response_time <= ANSWER_TIMEOUT_MARGIN {
+            return REQUESTED_WAIT + ANSWER_TIMEOUT_MARGIN;
+        }
+        REQUESTED_WAIT + (self.response_time + SLOW_ANSWER_ALLOWANCE).min(MAX_ANSWER_TIMEOUT_MARGIN)
+    }
+
+    /// When the answer of the outstanding request was requested, and when it times out.
+    pub fn outstanding(&self) -> Option<(Nanos, Nanos)> {
+        match self.state {
+            State::AwaitingAnswer { since } => Some((since, since + self.answer_timeout())),
+            State::Idle | State::BackingOff => None,
+        }
+    }
+
+    /// Until when an answer to a request is read after it has timed out.
+    pub fn late_answer_deadline(requested_at: Nanos) -> Nanos {
+        requested_at + REQUESTED_WAIT + MAX_ANSWER_TIMEOUT_MARGIN
+    }
+
+    /// Records how long an answer took from its request. It was due after the requested wait if it has no events, and at
+    /// some time until then if it has.
+    pub fn record_response_time(&mut self, elapsed: Nanos, has_events: bool) {
+        let shortest = elapsed.saturating_sub(REQUESTED_WAIT);
+        let longest = if has_events { elapsed } else { shortest };
+        self.response_time = self.response_time.clamp(shortest, longest);
     }
 
     /// Records an answer. Returns the delay of the next request: none, except after an early answer without events or
     /// after one with events missing, where an immediate request would make a busy loop.
     pub fn answer_received(&mut self, now: Nanos, has_events: bool, is_complete: bool) -> Nanos {
         let early = matches!(self.state, State::AwaitingAnswer { since } if now < since + REQUESTED_WAIT / 2);
+        if let State::AwaitingAnswer { since } = self.state {
+            self.record_response_time(now - since, has_events);
+        }
         self.state = State::Idle;
         self.failures = 0;
         if !is_complete || early && !has_events {
@@ -119,7 +161,7 @@
 
     /// Whether the answer has timed out.
     pub fn is_overdue(&self, now: Nanos) -> bool {
-        matches!(self.state, State::AwaitingAnswer { since } if now >= since + REQUESTED_WAIT + ANSWER_TIMEOUT_MARGIN)
+        self.outstanding().is_some_and(|(_, times_out_at)| now >= times_out_at)
     }
 
     /// Changes the address of the service, which may be sent a request at once.
@@ -154,6 +196,28 @@
         }
     }
 
+    /// Guards against a service that is slow all the time and whose answers are never awaited.
+    #[test]
+    fn slow_service_is_given_as_long_as_it_takes_and_a_prompt_one_the_least() {
+        let mut poll = journal_poll();
+        let least = REQUESTED_WAIT + ANSWER_TIMEOUT_MARGIN;
+        assert_eq!(poll.request_sent(0), least);
+        // The answer of a request that had timed out.
+        poll.record_response_time(REQUESTED_WAIT + 3_000 * MS, false);
+        let slow = REQUESTED_WAIT + 3_000 * MS + SLOW_ANSWER_ALLOWANCE;
+        assert_eq!(poll.outstanding(), Some((0, slow)));
+        assert!(!poll.is_overdue(slow - 1) && poll.is_overdue(slow));
+        // Events may have come at any time of the wait, so that this tells no more.
+        poll.answer_received(REQUESTED_WAIT + 2_000 * MS, true, true);
+        assert_eq!(poll.request_sent(0), slow);
+        poll.answer_received(1_500 * MS, true, true);
+        assert_eq!(poll.request_sent(0), REQUESTED_WAIT + 1_500 * MS + SLOW_ANSWER_ALLOWANCE);
+        poll.answer_received(REQUESTED_WAIT, false, true);
+        assert_eq!(poll.request_sent(0), least);
+        poll.record_response_time(60_000 * MS, false);
+        assert_eq!(poll.request_sent(0), REQUESTED_WAIT + MAX_ANSWER_TIMEOUT_MARGIN);
+    }
+
     #[test]
     fn retry_is_possible_after_each_failure_before_updates_count_as_known() {
         // Connecting may take half a second, and fail once more.
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -468,7 +468,7 @@
             Peer::Journal(journal) => match journal.process_input() {
                 Ok(None) => true,
                 Ok(Some((answer, kept))) => {
-                    self.handle_journal_answer(answer, kept);
+                    self.handle_journal_answer(conn_id, answer, kept);
                     true
                 }
                 Err(_) => false,
@@ -531,7 +531,7 @@
             Peer::Journal(_) => {
                 tracing::warn!(conn = conn_id, connect_failed, "journal connection lost");
                 self.calls.counters.increment("errors journal connections lost");
-                self.journal_disconnected(connect_failed);
+                self.journal_disconnected(conn_id, connect_failed);
             }
             Peer::Exchange(id) => {
                 tracing::warn!(
