Give each caller's connection an allowance that is restored with time

Callers saw: beside a crowd with a backlog, set-ups of a usual caller sometimes waited a whole round of the crowd, 280 to 580 ms (450 clients with 300 set-ups of too short a time each).

Cause: connections whose backlog had just been processed counted as new and used up the budget of the turn; what came after them was queued behind all others.

One that exceeds it takes turns; one within it that finds the budget of a turn used up is served first in the next.

--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -206,7 +206,7 @@
 
     /// When the next turn is due without further events.
     pub fn next_deadline(&self) -> Option<Nanos> {
-        let deferred = Some(self.now).filter(|_| self.input_budget.has_deferred_input());
+        let deferred = Some(self.now).filter(|_| self.input_budget.has_waiting_connections());
         deferred.or(self.calls.deadlines.earliest())
     }
 
@@ -428,13 +428,15 @@
         read_buffer.advance(count);
         if let Some(conn) = self.conns.get_mut(&conn_id) {
             conn.last_read_at = now;
-            if let (Peer::Caller(caller), true) = (&mut conn.peer, conn.write_closed) {
-                return caller.discard_input();
+            if let Peer::Caller(caller) = &mut conn.peer {
+                if conn.write_closed {
+                    return caller.discard_input();
+                }
+                if caller.deferred {
+                    return;
+                }
             }
         }
-        if self.conns.get(&conn_id).is_some_and(Conn::has_deferred_input) {
-            return;
-        }
         self.process_input(conn_id);
     }
 
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -96,8 +96,10 @@
     pub last_message_at: Nanos,
     /// Since when the message being received has been incomplete.
     pub incomplete_since: Option<Nanos>,
-    /// Whether complete messages wait in the read buffer until the connection has an allowance again.
+    /// Whether input waits in the read buffer until it is the connection's turn.
     pub deferred: bool,
+    /// When the whole allowance of the connection is available again.
+    pub allowance_restored_at: Nanos,
     /// Releases that the caller has not acknowledged, oldest first: when they were sent, call id and cause.
     unacked_releases: VecDeque<(Nanos, u64, u8)>,
     /// Received bytes.
