--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -56,7 +56,7 @@
     handle: CallId,
     /// The connection that the set-up came on.
     caller_conn: CallerConnId,
-    /// Bytes of the called number and the description.
+    /// Memory that the set-up takes while it is open.
     set_up_bytes: usize,
     /// Index of the class.
     class: usize,
@@ -142,7 +142,7 @@
     refuses_set_ups: bool,
     /// The first group state that each exchange reported since its connection was established.
     group_states: HashMap<ExchangeId, GroupState>,
-    /// Bytes of the set-ups that await a final answer.
+    /// Memory of the set-ups that await a final answer.
     open_bytes: usize,
     bounds: Bounds,
     /// Events for the decision module that result from its own actions.
--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -58,7 +58,7 @@
     pub max_callers: usize,
     /// Connections of all kinds.
     pub max_connections: usize,
-    /// Bytes of the set-ups that await a final answer: a quarter of the memory.
+    /// Memory of the set-ups that await a final answer: a quarter of all.
     pub max_open_bytes: usize,
     /// Bytes allocated for the buffers of all connections: a quarter of the memory.
     pub max_buffered_bytes: usize,
--- a/dillhold/tests/calls.rs
+++ b/dillhold/tests/calls.rs
@@ -261,6 +261,17 @@
     );
 }
 
+/// Guards against a process that is killed for its memory: small set-ups counted with the bytes of their number and
+/// description, and not with the some 2 KiB that they take in tables.
+#[test]
+fn small_set_ups_count_with_the_memory_that_they_take() {
+    let mut calls = new_table_with(Some(5_000));
+    for call_id in 1..=4 {
+        send_set_up(&mut calls, START, 7, call_id, false);
+    }
+    assert_eq!(calls.open_set_ups(), 2);
+}
+
 #[test]
 fn drain_withdraws_unsent_set_ups_and_stops_new_ones() {
     let mut calls = new_table();
