Retire the ids of set-ups that were sent on when their client leaves

Cause: set-ups of a lost connection ended without retiring their ids, for the sake of one that crosses a close of this process. Such a set-up is never read; one that is in the table has not crossed anything.

Change: ids that were sent on are retired. A client that closed both directions is marked: its unread set-ups are skipped, its releases carried out.

--- a/dillhold/src/call/recent.rs
+++ b/dillhold/src/call/recent.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedCall {
     /// Whether a set-up with its id is rejected; false if it was never entered in the table, or if the caller's
-    /// connection was lost, as the caller may send the set-up again.
+    /// connection was lost before it was sent on, as the caller may send the set-up again.
     pub retired: bool,
     /// Whether a set-up was sent to an exchange, which may still say something about the call.
     pub sent_on: bool,
--- a/dillhold/src/call/set_ups.rs
+++ b/dillhold/src/call/set_ups.rs
@@ -291,13 +291,14 @@
         }
     }
 
-    /// Ends the open set-ups of a caller's connection that was closed.
+    /// Ends the open set-ups of a caller's connection that was closed. The id of one that was sent on is not accepted again,
+    /// as it may have run; one that was not may be sent again on another connection.
     pub fn caller_disconnected(&mut self, now: Nanos, conn: CallerConnId) {
         let open_set_ups = self.calls_by_connection.get(&conn).map(|calls| calls.open_set_ups.clone());
         for id in open_set_ups.unwrap_or_default() {
             self.counters.increment("errors set-ups lost with their caller");
-            // A set-up that crossed the close may be sent again on another connection.
-            self.end_open_set_up(now, id, false);
+            let sent_on = self.calls_by_id.get(&id).is_some_and(|call| call.sent_on);
+            self.end_open_set_up(now, id, sent_on);
         }
     }
 
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -396,10 +396,16 @@
         self.handle_disconnect(conn_id, false, false);
     }
 
-    /// Reports that both directions of a connection are closed. If it was only kept to be written to, it is lost.
+    /// Reports that both directions of a connection are closed. If it was only kept to be written to, it is lost. What a
+    /// caller sent before is still read, but nobody awaits the answers to its set-ups.
     pub fn peer_closed(&mut self, conn_id: ConnId) {
-        if self.conns.get(&conn_id).is_some_and(|c| c.read_closed || c.reading_stopped.is_some()) {
-            self.connection_lost(conn_id);
+        let Some(conn) = self.conns.get_mut(&conn_id) else { return };
+        if conn.read_closed || conn.reading_stopped.is_some() {
+            return self.connection_lost(conn_id);
+        }
+        if let (Peer::Caller(caller), false) = (&mut conn.peer, conn.write_closed) {
+            caller.client_left = true;
+            self.calls.caller_disconnected(self.now, conn_id);
         }
     }
 
@@ -510,8 +516,9 @@
     fn handle_disconnect(&mut self, conn_id: ConnId, connect_failed: bool, refused: bool) {
         let Some(conn) = self.remove_conn(conn_id) else { return };
         match conn.peer {
-            Peer::Caller(caller) => {
+            Peer::Caller(mut caller) => {
                 self.callers.count -= 1;
+                caller.process_remaining_input(self.now, conn_id, &mut self.calls);
                 if caller.received_release_copies {
                     self.release_queue.connection_closed(conn_id);
                 }
--- a/dillhold/src/session/caller.rs
+++ b/dillhold/src/session/caller.rs
@@ -96,6 +96,8 @@
     pub last_message_at: Nanos,
     /// Since when the message being received has been incomplete.
     pub incomplete_since: Option<Nanos>,
+    /// Whether the client has closed both directions: set-ups that it sent before are not carried out any more.
+    pub client_left: bool,
     /// Whether input waits in the read buffer until it is the connection's turn.
     pub deferred: bool,
     /// When the whole allowance of the connection is available again.
@@ -121,7 +123,7 @@
         let (out, unacked_releases) = (&mut self.write_buffer, &mut self.unacked_releases);
         let (last_message_at, client) = (&mut self.last_message_at, &mut self.client);
         let (incomplete_since, mut completed) = (self.incomplete_since, false);
-        let deferred = &mut self.deferred;
+        let (client_left, deferred) = (self.client_left, &mut self.deferred);
         *deferred = false;
         process_messages(&mut self.read_buffer, |unread| {
             let Some((message, consumed)) = binary::parse(unread)? else { return Ok(None) };
@@ -132,6 +134,7 @@
             *allowance = allowance.saturating_sub(message_cost(message.kind, consumed));
             (*last_message_at, completed) = (now, true);
             match message.kind {
+                kind::SET_UP if client_left => calls.counters.increment("taken set-ups of clients that left"),
                 kind::SET_UP => {
                     let request = parse_set_up(&message);
                     let conduct = calls.handle_caller_request(now, conn, request);
@@ -259,6 +262,14 @@
 }
 
 impl CallerSession {
+    /// Processes the messages of a connection that was lost and are still in the read buffer, as far as they need no
+    /// answer.
+    pub fn process_remaining_input(&mut self, now: Nanos, conn: CallerConnId, calls: &mut Calls) {
+        self.client_left = true;
+        // Nothing is left to be closed after an error.
+        let _ = self.process_input(now, conn, calls, &mut { Cost::MAX });
+    }
+
     /// Ends the session of a connection that was lost.
     pub fn into_undelivered(mut self, now: Nanos) -> UndeliveredNotifications {
         let recent_releases =
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -1078,3 +1078,45 @@
     harness.run_turn(|e| e.connection_lost(caller));
     assert_eq!(table_size(&harness, "releases that wait for a caller"), 2);
 }
+
+/// Guards against set-ups that are sent on although their client has closed its connection, with much of what it sent
+/// still unread. Its releases count: a call that stands belongs to no connection.
+#[test]
+fn set_ups_of_a_client_that_left_are_not_sent_on_and_its_releases_are() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    establish_call(&mut harness, caller, exchange, 7);
+    harness.receive_set_up(caller, 8);
+    harness.take_written(exchange);
+    harness.run_turn(|e| e.peer_closed(caller));
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
+    assert!(to_exchange.starts_with("CANCEL "), "nobody awaits its answer: {to_exchange}");
+    let unread = [set_up_message(9, b"view"), release_message(7)].concat();
+    harness.receive(caller, &unread);
+    harness.run_turn(|e| e.read_closed(caller));
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
+    assert!(to_exchange.contains("BYE ") && !to_exchange.contains("INVITE "), "{to_exchange}");
+    assert!(harness.is_closed(caller));
+    // An id that has run does not run again, and one that has not is accepted.
+    let other = harness.accept_caller();
+    harness.receive_set_up(other, 8);
+    assert_eq!(take_notifications(&mut harness, other), [(binary::kind::RELEASE, 8, Some(41))]);
+    harness.receive_set_up(other, 9);
+    assert!(starts_with_text(&harness.take_written(exchange), "INVITE "));
+}
+
+/// Guards against a release that is lost in the buffer of a connection whose input waits for a later turn.
+#[test]
+fn deferred_releases_of_a_lost_connection_are_carried_out() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    establish_call(&mut harness, caller, exchange, 7);
+    let mut input: Vec<u8> = (0..200).flat_map(|n| set_up_message(1_000 + n, b"none")).collect();
+    input.extend([set_up_message(9, b"view"), release_message(7)].concat());
+    harness.take_written(exchange);
+    receive_at_once(&mut harness, &[(caller, input)]);
+    assert!(harness.take_written(exchange).is_empty(), "the rest waits for its turn");
+    harness.run_turn(|e| e.connection_lost(caller));
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
+    assert!(to_exchange.contains("BYE ") && !to_exchange.contains("INVITE "), "{to_exchange}");
+}
