--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -130,6 +130,8 @@
     UpdateLinks,
     /// The first call stands on this exchange: check its liveness while calls stand there.
     StartLivenessChecks(ExchangeId),
+    /// Calls were found to stand on this exchange: compare them with the circuits that it reports.
+    CompareCircuits(ExchangeId),
     /// This machine is permanently gone: close its link.
     RemoveExchange(ExchangeId),
 }
@@ -186,6 +188,8 @@
     FinalAnswer(u64, CallId),
     /// End the calls on a machine whose process has ended: the window for its own releases has passed.
     MachineEnded(ExchangeId),
+    /// Remove a machine that has left the list: the releases of its last calls are written.
+    MachineRemoval(ExchangeId),
     /// Close the measurement interval.
     IntervalEnd,
     /// Discard expired ids of ended calls.
@@ -216,6 +220,7 @@
             | Deadline::FinalAnswer(_, handle) => Some(DeadlineOwner::SetUp(*handle)),
             Deadline::Engine(deadline) => deadline.connection().map(DeadlineOwner::Connection),
             Deadline::MachineEnded(_)
+            | Deadline::MachineRemoval(_)
             | Deadline::IntervalEnd
             | Deadline::ForgetEndedCalls
             | Deadline::ReleaseUnknownCalls => None,
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -31,6 +31,7 @@
 use recent::{EndedCall, EndedCalls, NumberHandles};
 use set_ups::Rejection;
 pub use standing::GroupState;
+use standing::Incarnation;
 use unknown_releases::{CallerRelease, UnknownReleases};
 
 /// How long releases of a machine are still accepted after the journal reported that its process ended, as it
@@ -80,6 +81,8 @@
     sent_on: bool,
     /// The attempt that was answered; set while the call stands.
     answered_attempt: Option<Attempt>,
+    /// The process that answered it.
+    answered_by: Incarnation,
     stands_since: Nanos,
     /// Whether the caller still awaits a final answer.
     awaits_final_answer: bool,
@@ -142,6 +145,8 @@
     refuses_set_ups: bool,
     /// The first group state that each exchange reported since its connection was established.
     group_states: HashMap<ExchangeId, GroupState>,
+    /// The process behind the link to each exchange; an exchange without a lost connection has no entry.
+    incarnations: HashMap<ExchangeId, Incarnation>,
     /// Memory of the set-ups that await a final answer.
     open_bytes: usize,
     bounds: Bounds,
@@ -184,6 +189,7 @@
             answer_by: None,
             refuses_set_ups: false,
             group_states: HashMap::new(),
+            incarnations: HashMap::new(),
             open_bytes: 0,
             bounds,
             queued_events: VecDeque::new(),
@@ -389,6 +395,7 @@
         self.counters.increment("taken answers");
         let Some(call) = self.calls_by_id.get_mut(&id) else { return };
         (call.pending_attempt, call.answered_attempt, call.stands_since) = (None, Some(attempt), now);
+        call.answered_by = self.incarnations.get(&exchange).copied().unwrap_or_default();
         if let Some(meter) = &mut self.meter {
             let route = self.directory.machine(attempt.exchange).map_or(call.destination, |m| m.number);
             meter.record_standing(call.metered(), route, call.number_handle);
@@ -397,11 +404,7 @@
         let (handle, conn) = (call.handle, call.caller_conn);
         self.mark_final_answer_given(id);
         self.update_connection(conn, |calls| calls.standing_count += 1);
-        let standing_calls = self.standing_by_exchange.entry(attempt.exchange).or_default();
-        *standing_calls += 1;
-        if *standing_calls == 1 {
-            self.commands.push_back(Command::StartLivenessChecks(attempt.exchange));
-        }
+        self.increment_standing_calls(attempt.exchange);
         self.counters.increment("answered stands");
         self.notify_caller(Some(conn), id, CallerNotification::Answer(description.to_vec()));
         self.dispatch_event(
@@ -445,15 +448,9 @@
                     self.fail_set_up(now, id);
                 }
             }
-            Deadline::MachineEnded(exchange) => {
-                let machine = self.directory.machine(exchange);
-                // If the machine was restarted, only the calls from before its restart have ended.
-                let restarted = machine.filter(|m| m.state != ExchangeState::Gone);
-                let sent_before = restarted.map_or(Nanos::MAX, |m| m.started_at.unwrap_or(0));
-                self.cut_calls_of_exchange(now, exchange, sent_before);
-                if sent_before == Nanos::MAX {
-                    self.commands.push_back(Command::RemoveExchange(exchange));
-                }
+            Deadline::MachineEnded(exchange) => self.end_calls_of_machine(now, exchange),
+            Deadline::MachineRemoval(exchange) => {
+                self.commands.push_back(Command::RemoveExchange(exchange));
             }
             Deadline::IntervalEnd => self.close_intervals(now, false),
             Deadline::ForgetEndedCalls => {
--- a/dillhold/src/call/set_ups.rs
+++ b/dillhold/src/call/set_ups.rs
@@ -4,6 +4,7 @@
 use pitchgw::interface::{Event, ExchangeId, Nanos, NewCall, Outcome};
 
 use super::recent::EndedCall;
+use super::standing::Incarnation;
 use super::unknown_releases::CallerRelease;
 use super::{
     unix_ms, Call, CallerConnId, CallerNotification, Calls, Conduct, Deadline, ExchangeRequest, SetUp,
@@ -172,6 +173,7 @@
                 pending_attempt: None,
                 sent_on: false,
                 answered_attempt: None,
+                answered_by: Incarnation::default(),
                 stands_since: now,
                 awaits_final_answer: true,
                 next_attempt_at: now,
--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -243,6 +243,20 @@
         self.machines.iter().map(|(id, m)| (*id, m))
     }
 
+    /// Whether a machine has left the list.
+    pub fn is_gone(&self, id: ExchangeId) -> bool {
+        self.machine(id).is_none_or(|m| m.state == ExchangeState::Gone)
+    }
+
+    /// The machine on the list that has taken over the address of another one.
+    pub fn successor(&self, id: ExchangeId) -> Option<(ExchangeId, &Machine)> {
+        let address = self.machine(id)?.address;
+        let is_successor = |(other, m): &(ExchangeId, &Machine)| {
+            *other != id && m.address == address && m.state != ExchangeState::Gone
+        };
+        self.machines().filter(is_successor).last()
+    }
+
     /// Removes a machine if it has left the list.
     pub fn remove_gone(&mut self, id: ExchangeId) {
         self.machines.retain(|other, m| *other != id || m.state != ExchangeState::Gone);
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -7,7 +7,7 @@
 
 use super::close_reason::CloseReason;
 use super::failure_detector::FailureDetector;
-use super::{ConnId, Engine, Peer};
+use super::{ConnId, Disconnect, Engine, Peer};
 use crate::call::{AttemptProgress, Deadline, EngineDeadline, ExchangeRequest};
 use crate::clock::MS;
 use crate::session::exchange::ExchangeSession;
@@ -126,7 +126,7 @@
         let opened = self.connect(link.address, Peer::Exchange(id));
         match (opened, self.links.get_mut(&id)) {
             (Some(conn_id), Some(link)) => link.conn = Some(conn_id),
-            _ => self.exchange_disconnected(id, true, false),
+            _ => self.exchange_disconnected(id, Disconnect::ConnectFailed { refused: false }),
         }
     }
 
@@ -168,8 +168,13 @@
         }
     }
 
-    pub(super) fn exchange_disconnected(&mut self, id: ExchangeId, connect_failed: bool, refused: bool) {
+    pub(super) fn exchange_disconnected(&mut self, id: ExchangeId, disconnect: Disconnect) {
         let Some(link) = self.links.get_mut(&id) else { return };
+        let connect_failed = matches!(disconnect, Disconnect::ConnectFailed { .. });
+        let refused = disconnect.is_refusal();
+        if refused || disconnect == Disconnect::Lost {
+            self.calls.exchange_process_may_have_ended(id);
+        }
         (link.conn, link.awaiting_reply_since) = (None, None);
         let unsent = link.session.connection_lost(self.now);
         let process_ended = refused && link.count_refusal(self.now);
@@ -243,6 +248,7 @@
                     self.expect_reply(to);
                 }
             }
+            None if self.calls.directory.is_gone(to) => {}
             None => self.connect_exchange(to),
         }
     }
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -111,6 +111,23 @@
     Journal(JournalSession),
 }
 
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disconnect {
+    /// It could not be established. `refused`: the port is closed, so no process was listening.
+    ConnectFailed { refused: bool },
+    /// The peer or the network ended it.
+    Lost,
+    /// This process closed it.
+    Closed,
+}
+
+impl Disconnect {
+    fn is_refusal(self) -> bool {
+        self == Disconnect::ConnectFailed { refused: true }
+    }
+}
+
 struct Conn {
     peer: Peer,
     /// Not established yet.
@@ -375,14 +392,14 @@
     /// Reports that an outgoing connection could not be established. `refused`: the port is closed, so no process
     /// was listening.
     pub fn connect_failed(&mut self, conn_id: ConnId, refused: bool) {
-        self.handle_disconnect(conn_id, true, refused);
+        self.handle_disconnect(conn_id, Disconnect::ConnectFailed { refused });
     }
 
     /// Closes a connection on the engine's own decision.
     fn close(&mut self, conn_id: ConnId, reason: CloseReason) {
         tracing::info!(conn = conn_id, ?reason, "connection closed");
         self.count_close(reason);
-        self.connection_lost(conn_id);
+        self.handle_disconnect(conn_id, Disconnect::Closed);
     }
 
     fn count_close(&mut self, reason: CloseReason) {
@@ -393,7 +410,7 @@
 
     /// Reports that a connection is lost.
     pub fn connection_lost(&mut self, conn_id: ConnId) {
-        self.handle_disconnect(conn_id, false, false);
+        self.handle_disconnect(conn_id, Disconnect::Lost);
     }
 
     /// Reports that both directions of a connection are closed. If it was only kept to be written to, it is lost. What a
@@ -513,7 +530,9 @@
         );
     }
 
-    fn handle_disconnect(&mut self, conn_id: ConnId, connect_failed: bool, refused: bool) {
+    fn handle_disconnect(&mut self, conn_id: ConnId, disconnect: Disconnect) {
+        let connect_failed = matches!(disconnect, Disconnect::ConnectFailed { .. });
+        let refused = disconnect.is_refusal();
         let Some(conn) = self.remove_conn(conn_id) else { return };
         match conn.peer {
             Peer::Caller(mut caller) => {
@@ -554,7 +573,7 @@
                     true => "errors exchange connections unmade",
                     false => "errors exchange connections lost",
                 });
-                self.exchange_disconnected(id, connect_failed, refused);
+                self.exchange_disconnected(id, disconnect);
             }
             Peer::Check(check) => self.check_disconnected(check.exchange, refused),
         }
@@ -665,6 +684,7 @@
                 }
                 Command::UpdateLinks => self.update_links(),
                 Command::StartLivenessChecks(id) => self.start_liveness_checks(id),
+                Command::CompareCircuits(id) => self.compare_calls_with_circuits(id, self.now),
                 Command::RemoveExchange(id) => {
                     self.drop_link(id);
                     self.calls.remove_exchange(id);
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -1120,3 +1120,77 @@
     let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
     assert!(to_exchange.contains("BYE ") && !to_exchange.contains("INVITE "), "{to_exchange}");
 }
+
+/// An event of the journal about machines at the port of exchange 1: uids and states.
+fn journal_event(pos: u64, targets: &[(&str, &str)]) -> Vec<u8> {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let targets: Vec<_> = targets.iter().map(|(uid, state)| journal_target(1, uid, address, state)).collect();
+    let event = serde_json::json!({"pos": pos, "hosts": {"rev": pos, "all": false, "targets": targets}});
+    journal_answer(&event.to_string())
+}
+
+/// Sets up a call at an exchange that was just connected, and loses the connection to its process. Returns the connection
+/// to the process that comes up at the same address, where a second call stands.
+fn replace_process(harness: &mut EngineHarness, caller: ConnId) -> ConnId {
+    let exchange = harness.establish(1);
+    establish_call(harness, caller, exchange, 7);
+    harness.advance(1_000 * MS);
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(MS);
+    let successor = harness.establish(1);
+    // Not reported: how many circuits are in use.
+    establish_call(harness, caller, successor, 8);
+    harness.advance(1_000 * MS);
+    harness.take_written(successor);
+    successor
+}
+
+/// Guards against calls of a new process that are released when the journal reports the end of the old one, at whose
+/// address it came up, and that are left standing there.
+#[test]
+fn calls_of_a_successor_at_the_same_address_outlive_its_predecessor() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    replace_process(&mut harness, caller);
+    harness.receive(journal, &journal_event(2, &[("s-1", "DELETED"), ("s-9", "SERVING")]));
+    let successor = harness.establish(1);
+    harness.advance(500 * MS);
+    let cut = take_notifications(&mut harness, caller);
+    assert_eq!(cut, [(binary::kind::RELEASE, 7, Some(41))], "only the call of the old process has ended");
+    harness.receive(caller, &release_message(8));
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(successor)).into_owned();
+    assert!(to_exchange.contains(&format!("Call-ID: {:016x}\r\nCSeq: 1000 BYE", 8)), "{to_exchange}");
+}
+
+/// While the journal has not reported the new process, it is not certain which one answered. Its caller is told that the
+/// call is over, and then nothing may be left standing.
+#[test]
+fn calls_of_a_machine_that_is_gone_are_released_at_its_address_too() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    let link = replace_process(&mut harness, caller);
+    harness.receive(journal, &journal_event(2, &[("s-1", "DELETED")]));
+    harness.advance(500 * MS);
+    assert_eq!(take_notifications(&mut harness, caller).len(), 2);
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(link)).into_owned();
+    assert!(to_exchange.contains(&format!("Call-ID: {:016x}\r\nCSeq: 1000 BYE", 8)), "{to_exchange}");
+    assert!(harness.is_closed(link), "the machine is removed");
+}
+
+/// A machine that vanishes resets nothing: its last calls are taken for those of its successor until that reports how many
+/// circuits are in use.
+#[test]
+fn calls_moved_to_a_successor_that_has_none_end() {
+    for (free, calls_end) in [(9, true), (8, false)] {
+        let mut harness = EngineHarness::new();
+        let (journal, caller) = (harness.establish(9), harness.accept_caller());
+        replace_process(&mut harness, caller);
+        harness.receive(journal, &journal_event(2, &[("s-1", "DELETED"), ("s-9", "SERVING")]));
+        let successor = harness.establish(1);
+        harness.receive(successor, &group_report(free));
+        harness.advance(1_000 * MS);
+        let cut = take_notifications(&mut harness, caller);
+        let expected = [(binary::kind::RELEASE, 7, Some(41)), (binary::kind::RELEASE, 8, Some(41))];
+        assert_eq!(cut, &expected[..if calls_end { 2 } else { 1 }], "{free} of 9 free");
+    }
+}
