Move or end the calls that are answered while an old machine's link is being removed

Change: what is done at the end of the machine is done again at the removal.

Measured: call_answered_before_its_machine_is_removed_is_released failed before.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -449,9 +449,7 @@
                 }
             }
             Deadline::MachineEnded(exchange) => self.end_calls_of_machine(now, exchange),
-            Deadline::MachineRemoval(exchange) => {
-                self.commands.push_back(Command::RemoveExchange(exchange));
-            }
+            Deadline::MachineRemoval(exchange) => self.remove_machine(now, exchange),
             Deadline::IntervalEnd => self.close_intervals(now, false),
             Deadline::ForgetEndedCalls => {
                 self.forget_scheduled = false;
--- a/dillhold/src/call/standing.rs
+++ b/dillhold/src/call/standing.rs
@@ -40,6 +40,17 @@
         if let Some(started_at) = restarted.map(|m| m.started_at.unwrap_or(0)) {
             return self.cut_calls_of_exchange(now, exchange, started_at);
         }
+        self.move_or_end_calls(now, exchange);
+        self.deadlines.add(now + MACHINE_REMOVAL_DELAY, Deadline::MachineRemoval(exchange));
+    }
+
+    /// Removes a machine that is gone, and ends the calls that were answered on its link until now.
+    pub(super) fn remove_machine(&mut self, now: Nanos, exchange: ExchangeId) {
+        self.move_or_end_calls(now, exchange);
+        self.commands.push_back(Command::RemoveExchange(exchange));
+    }
+
+    fn move_or_end_calls(&mut self, now: Nanos, exchange: ExchangeId) {
         let number = self.directory.machine(exchange).map(|m| m.number);
         let successor = self.directory.successor(exchange).map(|(id, m)| (id, m.number, m.started_at));
         for (id, conn) in self.standing_calls_answered_before(exchange, Nanos::MAX) {
@@ -61,7 +72,6 @@
         if let Some((successor, ..)) = successor.filter(|(id, ..)| self.standing_calls_at(*id) > 0) {
             self.commands.push_back(Command::CompareCircuits(successor));
         }
-        self.deadlines.add(now + MACHINE_REMOVAL_DELAY, Deadline::MachineRemoval(exchange));
     }
 
     /// Records that a connection of an exchange was lost or refused.
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -1194,3 +1194,23 @@
         assert_eq!(cut, &expected[..if calls_end { 2 } else { 1 }], "{free} of 9 free");
     }
 }
+
+/// Guards against a call that stands at a machine which is not known any more, so that its release is not passed on: it was
+/// answered on the link to the old machine just before that was removed (seed 5000 of the soak).
+#[test]
+fn call_answered_before_its_machine_is_removed_is_released() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    let link = replace_process(&mut harness, caller);
+    harness.receive_set_up(caller, 9);
+    harness.receive(journal, &journal_event(2, &[("s-1", "DELETED"), ("s-9", "SERVING")]));
+    let successor = harness.establish(1);
+    harness.receive(link, &group_report(1));
+    harness.advance(260 * MS);
+    harness.receive(link, &ok_response(9));
+    harness.advance(500 * MS);
+    assert!(harness.is_closed(link));
+    take_notifications(&mut harness, caller);
+    harness.receive(successor, &bye_request(9));
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 9, Some(16))]);
+}
