Tell the second copy of an error from the end of the next attempt where exchanges allow it

Cause: a response was attributed to the attempt that is pending at its exchange, whatever its number, as exchanges may choose the number of CSeq.

Change: set-ups have numbers of their own, and the responses of an exchange show whether it repeats them. An error with the number of an ended attempt from one that does is a copy.

Test changed: a second attempt was asked to have the number 2; it is asked to have the number after that of the first.

--- a/dillhold/src/call/attempts.rs
+++ b/dillhold/src/call/attempts.rs
@@ -6,8 +6,9 @@
 
 impl Calls {
     /// The pending attempt of a call, if it was sent to this exchange. Messages of an exchange name the call
-    /// but not the attempt. They can be attributed to the pending one, because the release wait or a final
-    /// response ensures that an earlier attempt at the same exchange is over before the next one is sent.
+    /// but not always the attempt. They can be attributed to the pending one, because the release wait or a final
+    /// response ensures that an earlier attempt at the same exchange is over before the next one is sent; of a
+    /// response that comes twice, [`Calls::is_repeated_response`] tells the second copy.
     pub(super) fn pending_attempt_at(&self, id: u64, exchange: ExchangeId) -> Option<Attempt> {
         self.calls_by_id
             .get(&id)?
@@ -15,6 +16,14 @@
             .filter(|attempt| self.is_same_endpoint(exchange, attempt.exchange))
     }
 
+    /// Whether a response to a set-up is another copy of one that has ended an earlier attempt of the call. `sequence` is
+    /// the number that the response has.
+    pub fn is_repeated_response(&mut self, exchange: ExchangeId, id: u64, sequence: u32) -> bool {
+        let Some(pending) = self.pending_attempt_at(id, exchange) else { return false };
+        let ended = self.calls_by_id.get(&id).map_or(&[][..], |call| &call.ended_sequences);
+        self.response_matcher.is_repeated(exchange, sequence, pending.sequence, ended)
+    }
+
     /// Whether messages received from `sender` may come from `exchange`: both are the same machine or have
     /// the same address. When a machine takes over the address of one that is gone, the link to the old one
     /// reaches the new one until the journal reports the change, and calls are not bound to a connection.
@@ -104,10 +113,12 @@
         }
         tracing::debug!(call = format_args!("{id:016x}"), attempt, exchange = to, "attempt started");
         let expires_at = now.saturating_add(timeout).min(call.deadline);
-        call.pending_attempt = Some(Attempt { exchange: to, number: attempt, sent_at: now });
+        let sequence = self.response_matcher.next_sequence();
+        call.pending_attempt = Some(Attempt { exchange: to, number: attempt, sequence, sent_at: now });
         call.sent_on = true;
         let request = ExchangeRequest::SetUp {
             attempt,
+            sequence,
             timeout: expires_at - now,
             class: self.settings.classes[call.class].clone().into_bytes(),
             called_number: call.called_number.clone(),
@@ -125,7 +136,7 @@
         self.request_exchange(
             pending.exchange,
             id,
-            ExchangeRequest::CancelAttempt { attempt: pending.number },
+            ExchangeRequest::CancelAttempt { attempt: pending.number, sequence: pending.sequence },
         );
         self.end_attempt(now, id, pending, (outcome, Cause::Untold, LoadReport::default()));
     }
@@ -144,6 +155,7 @@
         self.counters.increment("taken endings");
         let Some(call) = self.calls_by_id.get_mut(&id) else { return };
         call.pending_attempt = None;
+        call.ended_sequences.push(ended_attempt.sequence);
         if matches!(outcome, Outcome::TimedOut | Outcome::Cut | Outcome::CalledOff) {
             call.next_attempt_at = now + self.module_settings.release_wait;
         }
--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -156,6 +156,8 @@
     SetUp {
         /// Number of the attempt, from 0.
         attempt: u32,
+        /// The number that identifies the request; no other set-up of this process has it.
+        sequence: u32,
         /// How long the attempt may take.
         timeout: Nanos,
         /// Name of the class.
@@ -169,6 +171,8 @@
     CancelAttempt {
         /// Number of the attempt, from 0.
         attempt: u32,
+        /// The number of its request.
+        sequence: u32,
     },
     /// Release a call; holds the Q.850 cause.
     Release(u8),
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -10,6 +10,7 @@
 mod attempts;
 mod messages;
 mod recent;
+mod response_matcher;
 mod set_ups;
 mod standing;
 mod unknown_releases;
@@ -29,6 +30,7 @@
 use crate::directory::{Bounds, ControllerSettings, Directory, DirectoryUpdate};
 pub use messages::*;
 use recent::{EndedCall, EndedCalls, NumberHandles};
+use response_matcher::ResponseMatcher;
 use set_ups::Rejection;
 pub use standing::GroupState;
 use standing::Incarnation;
@@ -48,6 +50,8 @@
     exchange: ExchangeId,
     /// Number of the attempt within its call, from 0.
     number: u32,
+    /// The number that identifies its request.
+    sequence: u32,
     sent_at: Nanos,
 }
 
@@ -76,6 +80,8 @@
     deadline: Nanos,
     /// Attempts that the decision module has requested, including those that were not allowed.
     attempt_count: u32,
+    /// The numbers of the requests of attempts that have ended.
+    ended_sequences: Vec<u32>,
     pending_attempt: Option<Attempt>,
     /// Whether a set-up was passed on to the connections to an exchange.
     sent_on: bool,
@@ -135,6 +141,7 @@
     /// Closed measurement intervals that have not been fetched yet.
     pub intervals: VecDeque<Interval>,
     next_handle: CallId,
+    response_matcher: ResponseMatcher,
     /// Number of set-ups that await a final answer.
     open_set_ups: usize,
     /// Number of standing calls by exchange; an exchange without any has no entry.
@@ -184,6 +191,7 @@
             meter: None,
             intervals: VecDeque::new(),
             next_handle: 0,
+            response_matcher: ResponseMatcher::default(),
             open_set_ups: 0,
             standing_by_exchange: HashMap::new(),
             answer_by: None,
--- a/dillhold/src/call/set_ups.rs
+++ b/dillhold/src/call/set_ups.rs
@@ -170,6 +170,7 @@
                 in_transit: set_up.in_transit,
                 deadline,
                 attempt_count: 0,
+                ended_sequences: Vec::new(),
                 pending_attempt: None,
                 sent_on: false,
                 answered_attempt: None,
--- a/dillhold/src/call/standing.rs
+++ b/dillhold/src/call/standing.rs
@@ -213,6 +213,7 @@
         self.directory.remove_gone(exchange);
         self.group_states.remove(&exchange);
         self.incarnations.remove(&exchange);
+        self.response_matcher.remove(exchange);
     }
 
     pub(super) fn end_standing_call(&mut self, now: Nanos, id: u64, outcome: Outcome) {
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -100,7 +100,7 @@
     pub fn send(&mut self, now: Nanos, id: u64, request: &ExchangeRequest) -> bool {
         self.has_requests = true;
         match request {
-            ExchangeRequest::SetUp { attempt, timeout, class, called_number, description } => {
+            ExchangeRequest::SetUp { attempt, sequence, timeout, class, called_number, description } => {
                 if self.write_buffer.pending().len() > MAX_PENDING_BYTES {
                     return false;
                 }
@@ -111,15 +111,15 @@
                 let (uri, timeout_ms) = (format!("sip:{called_number}@net"), timeout / MS);
                 self.write_buffer.append_tracked((id, *attempt), |out| {
                     let headers = format_args!("X-Service: {class}\r\nX-Setup-Ms: {timeout_ms}\r\n");
-                    write_request(out, "INVITE", &uri, id, attempt + 1, headers, description);
+                    write_request(out, "INVITE", &uri, id, *sequence, headers, description);
                 });
             }
-            ExchangeRequest::CancelAttempt { attempt } => {
+            ExchangeRequest::CancelAttempt { attempt, sequence } => {
                 // A set-up that has not begun to be written is withdrawn: sent late, it would cross the next
                 // one.
                 if self.write_buffer.withdraw(|tracked| tracked == (id, *attempt)).is_empty() {
                     let out = self.write_buffer.buffer();
-                    write_request(out, "CANCEL", "sip:call@net", id, attempt + 1, format_args!(""), b"");
+                    write_request(out, "CANCEL", "sip:call@net", id, *sequence, format_args!(""), b"");
                 }
             }
             ExchangeRequest::ReleaseUnknown(cause) => self.send_unknown_release(now, id, *cause),
@@ -226,8 +226,8 @@
     sip::write(out, start_line, message.raw_call_id(), (cseq_number, method), format_args!(""), b"");
 }
 
-/// Handles a response to a set-up. It does not identify the attempt: exchanges choose the number of `CSeq`
-/// freely.
+/// Handles a response to a set-up. Exchanges may choose the number of `CSeq` freely, so that it does not always identify the
+/// attempt.
 fn handle_set_up_response(
     now: Nanos,
     from: ExchangeId,
@@ -241,6 +241,10 @@
         return; // provisional responses are ignored
     }
     write_request(out, "ACK", "sip:call@net", call_id, cseq_number, format_args!(""), b"");
+    let is_repeated = calls.is_repeated_response(from, call_id, cseq_number);
+    if is_repeated && code >= 300 {
+        return calls.counters.increment("taken endings twice");
+    }
     let event = if code < 300 {
         ExchangeEvent::Answered { call_id, description: message.body }
     } else {
--- a/dillhold/tests/calls.rs
+++ b/dillhold/tests/calls.rs
@@ -98,7 +98,13 @@
     let commands = run_until(&mut calls, START + 4_000 * MS);
     assert_eq!(sent_set_ups(&commands).len(), 1);
     let is_cancel = |c: &Command| {
-        matches!(c, Command::RequestExchange { request: ExchangeRequest::CancelAttempt { attempt: 0 }, .. })
+        matches!(
+            c,
+            Command::RequestExchange {
+                request: ExchangeRequest::CancelAttempt { attempt: 0, sequence: 1 },
+                ..
+            }
+        )
     };
     assert_eq!(commands.iter().filter(|(_, c)| is_cancel(c)).count(), 1);
     assert_eq!(notifications(&commands), vec![(START + 2_990 * MS, &CallerNotification::Failed)]);
@@ -177,7 +183,7 @@
     let cancel = Command::RequestExchange {
         to: 0,
         call_id: 1,
-        request: ExchangeRequest::CancelAttempt { attempt: 0 },
+        request: ExchangeRequest::CancelAttempt { attempt: 0, sequence: 1 },
     };
     assert_eq!(calls.commands, vec![failed(7), cancel], "one answer for both");
     assert_eq!((calls.open_set_ups(), calls.has_calls(7)), (0, false));
@@ -207,7 +213,7 @@
     let cancel = Command::RequestExchange {
         to: 0,
         call_id: 1,
-        request: ExchangeRequest::CancelAttempt { attempt: 0 },
+        request: ExchangeRequest::CancelAttempt { attempt: 0, sequence: 1 },
     };
     assert!(run_until(&mut calls, START).iter().any(|(_, command)| *command == cancel));
     send_set_up(&mut calls, START + MS, 8, 1, false);
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -1214,3 +1214,50 @@
     harness.receive(successor, &bye_request(9));
     assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 9, Some(16))]);
 }
+
+/// Takes the set-ups that were written on the connection of an exchange: call ids and numbers of `CSeq`.
+fn take_set_ups(harness: &mut EngineHarness, exchange: ConnId) -> Vec<(u64, u32)> {
+    let bytes = harness.take_written(exchange);
+    let (mut rest, mut set_ups) = (&bytes[..], Vec::new());
+    while let Some((message, length)) = sip::parse(rest).unwrap() {
+        let cseq = message.cseq().filter(|(_, method)| *method == b"INVITE");
+        set_ups.extend(
+            message.call_id().zip(cseq.map(|(number, _)| number)).filter(|_| message.uri().is_some()),
+        );
+        rest = &rest[length..];
+    }
+    set_ups
+}
+
+fn error_response(id: u64, number: u32) -> Vec<u8> {
+    format!("SIP/2.0 500 Error\r\nCall-ID: {id:016x}\r\nCSeq: {number} INVITE\r\nl: 0\r\n\r\n").into_bytes()
+}
+
+/// Guards against two attempts out at once: an exchange that fails set-ups is tried again at once, and the second copy of
+/// its answer, some milliseconds later, was taken for the end of the next attempt.
+#[test]
+fn second_copy_of_a_failure_names_an_attempt_that_has_ended() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    // The exchange is known to repeat the numbers of requests, and to fail.
+    for id in 1..=4 {
+        harness.receive_set_up(caller, id);
+        let (call, number) = take_set_ups(&mut harness, exchange)[0];
+        harness.receive(exchange, &error_response(call, number));
+        harness.receive(caller, &release_message(id));
+    }
+    harness.take_written(exchange);
+    harness.receive_set_up(caller, 9);
+    let (_, first) = take_set_ups(&mut harness, exchange)[0];
+    harness.advance(20 * MS);
+    harness.receive(exchange, &error_response(9, first));
+    harness.advance(10 * MS);
+    let second = take_set_ups(&mut harness, exchange);
+    assert_eq!(second.len(), 1, "the exchange is at fault: one more attempt, which is out");
+    harness.receive(exchange, &error_response(9, first));
+    harness.advance(150 * MS);
+    assert_eq!(take_set_ups(&mut harness, exchange), [], "the copy ends no attempt");
+    // Its own answer ends it.
+    harness.receive(exchange, &ok_response(9));
+    assert!(take_notifications(&mut harness, caller).contains(&(binary::kind::ANSWER, 9, None)));
+}
--- a/dillhold/tests/program.rs
+++ b/dillhold/tests/program.rs
@@ -141,14 +141,14 @@
     let (_program, mut caller, mut first, _second, listeners) = start_with_peers("dies");
     establish_call(&mut caller, &mut first, 10);
     caller.send_set_up(11);
-    first.read_sip("INVITE ");
+    let (_, first_number, _) = first.read_sip("INVITE ");
     drop(first);
     let lost_at = Instant::now();
     let mut again = accept(&listeners[1]);
     let (id, number, _) = again.read_sip("INVITE ");
-    assert!(id == 11 && number == 2);
+    assert!(id == 11 && number == first_number + 1, "the next attempt has the next number");
     assert!(lost_at.elapsed() >= Duration::from_millis(300));
-    again.send_sip("SIP/2.0 200 OK", 11, (2, "INVITE"), "", b"x");
+    again.send_sip("SIP/2.0 200 OK", 11, (number, "INVITE"), "", b"x");
     assert_eq!(caller.read_binary(), (ANSWER, 11, 0, b"x".to_vec()));
     let [_journal, exchange_listener, _other] = listeners;
     drop(exchange_listener);
