End the reply time-out of set-ups that are withdrawn

Cause: the reply time-out of a set-up ran on after the set-up had been withdrawn unsent.

Change: withdrawing ends the time-out if no attempt is pending at the exchange any more.

Measured: no_reply_is_due_to_a_set_up_that_was_withdrawn failed before.

--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -208,6 +208,19 @@
         }
     }
 
+    /// Withdraws the set-ups to an exchange that have not been sent. If none is pending there any more, no reply is due.
+    pub(super) fn withdraw_set_ups(&mut self, id: ExchangeId) {
+        let withdrawn = self.links.get_mut(&id).map(|l| l.session.withdraw_set_ups()).unwrap_or_default();
+        for (call_id, attempt) in withdrawn {
+            self.calls.attempt_lost(self.now, call_id, attempt, AttemptProgress::NeverSent);
+        }
+        if !self.calls.has_pending_attempts(id) {
+            if let Some(link) = self.links.get_mut(&id) {
+                link.awaiting_reply_since = None;
+            }
+        }
+    }
+
     pub(super) fn handle_reply_timeout(&mut self, id: ExchangeId, conn_id: ConnId) {
         let Some(link) = self.links.get_mut(&id).filter(|l| l.conn == Some(conn_id)) else { return };
         if link
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -37,9 +37,7 @@
 use measured::record::Interval;
 use pitchgw::interface::{ExchangeId, Nanos};
 
-use crate::call::{
-    AttemptProgress, CallerNotification, Calls, Command, Deadline, DeadlineOwner, EngineDeadline,
-};
+use crate::call::{CallerNotification, Calls, Command, Deadline, DeadlineOwner, EngineDeadline};
 use crate::clock::MS;
 use crate::counters::{Counters, TableSizes};
 use crate::directory::{Bounds, Config, ControllerSettings, Directory};
@@ -675,13 +673,7 @@
                 Command::RequestExchange { to, call_id, request } => {
                     self.request_exchange(to, call_id, &request)
                 }
-                Command::WithdrawSetUps(id) => {
-                    let withdrawn =
-                        self.links.get_mut(&id).map(|l| l.session.withdraw_set_ups()).unwrap_or_default();
-                    for (call_id, attempt) in withdrawn {
-                        self.calls.attempt_lost(self.now, call_id, attempt, AttemptProgress::NeverSent);
-                    }
-                }
+                Command::WithdrawSetUps(id) => self.withdraw_set_ups(id),
                 Command::UpdateLinks => self.update_links(),
                 Command::StartLivenessChecks(id) => self.start_liveness_checks(id),
                 Command::CompareCircuits(id) => self.compare_calls_with_circuits(id, self.now),
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -1261,3 +1261,17 @@
     harness.receive(exchange, &ok_response(9));
     assert!(take_notifications(&mut harness, caller).contains(&(binary::kind::ANSWER, 9, None)));
 }
+
+/// Guards against closing the connection of an exchange that drains, for want of a reply to a set-up that was withdrawn.
+#[test]
+fn no_reply_is_due_to_a_set_up_that_was_withdrawn() {
+    let mut harness = EngineHarness::new();
+    let (journal, exchange) = (harness.establish(9), harness.establish(1));
+    let caller = harness.accept_caller();
+    let drain = journal_event(2, &[("s-1", "DRAINING")]);
+    harness.blocked.insert(exchange);
+    harness.receive_set_up(caller, 7);
+    harness.receive(journal, &drain);
+    harness.advance(500 * MS);
+    assert!(!harness.is_closed(exchange));
+}
