Count refused liveness checks only while the link has no connection

Cause: a refused check counted like a refused connection of the link itself.

Change: while the link has a connection, a refused check sends a test on it.

Measured: refused_liveness_checks_end_no_calls_while_the_connection_of_the_exchange_lives failed before (released after three checks).

--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -148,8 +148,17 @@
         let now = self.now;
         let Some(link) = self.links.get_mut(&id) else { return };
         link.check_conn = None;
-        if refused && link.count_refusal(now) {
-            self.calls.cut_calls_of_exchange(now, id, Nanos::MAX);
+        if !refused {
+            return;
+        }
+        // A process that dies resets its connections: as long as the link has one, nothing has ended. A request shows.
+        match link.conn.filter(|conn_id| self.conns.get(conn_id).is_some_and(|conn| !conn.connecting)) {
+            Some(conn_id) => {
+                link.session.send_test();
+                self.needs_flush.insert(conn_id);
+            }
+            None if link.count_refusal(now) => self.calls.cut_calls_of_exchange(now, id, Nanos::MAX),
+            None => {}
         }
     }
 
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -134,6 +134,13 @@
         true
     }
 
+    /// Sends a test, which an exchange answers at once.
+    pub fn send_test(&mut self) {
+        self.has_requests = true;
+        let out = self.write_buffer.buffer();
+        write_request(out, "OPTIONS", "sip:ping@net", 0, 1, format_args!(""), b"");
+    }
+
     /// Sends the release of a call that this process does not know. It is not written when much is pending: any client can
     /// send releases of calls that do not exist, and they must not crowd out other requests.
     fn send_unknown_release(&mut self, now: Nanos, call_id: u64, cause: u8) {
--- a/dillhold/tests/engine.rs
+++ b/dillhold/tests/engine.rs
@@ -1262,6 +1262,36 @@
     assert!(take_notifications(&mut harness, caller).contains(&(binary::kind::ANSWER, 9, None)));
 }
 
+/// Guards against calls that are released although they stand: an exchange that takes no more connections refuses liveness
+/// checks, while its own connection is in order.
+#[test]
+fn refused_liveness_checks_end_no_calls_while_the_connection_of_the_exchange_lives() {
+    for answers_tests in [true, false] {
+        let mut harness = EngineHarness::new();
+        let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+        establish_call(&mut harness, caller, exchange, 7);
+        harness.take_written(exchange);
+        let (mut checks, mut tests) = (0, 0);
+        for _ in 0..200 {
+            let check = harness.last_connect_to(1).unwrap();
+            if check != exchange && !harness.is_closed(check) {
+                harness.run_turn(|e| e.connect_failed(check, true));
+                checks += 1;
+            }
+            if starts_with_text(&harness.take_written(exchange), "OPTIONS sip:ping@net ") {
+                tests += 1;
+                let passed = "SIP/2.0 200 OK\r\nCall-ID: 0000000000000000\r\nCSeq: 1 OPTIONS\r\nl: 0\r\n\r\n";
+                harness.receive(exchange, if answers_tests { passed.as_bytes() } else { b"" });
+            }
+            harness.advance(50 * MS);
+        }
+        assert!(tests >= 3 && (tests == checks || !answers_tests), "{checks} refused checks, {tests} tests");
+        let cut = take_notifications(&mut harness, caller);
+        // An exchange that does not answer has vanished for this process.
+        assert_eq!(cut.is_empty(), answers_tests, "{cut:?}");
+    }
+}
+
 /// Guards against closing the connection of an exchange that drains, for want of a reply to a set-up that was withdrawn.
 #[test]
 fn no_reply_is_due_to_a_set_up_that_was_withdrawn() {
