Split the tests of the engine by subject, with their harness among the fixtures

The 47 tests are unchanged, in four files: exchanges, releases, overload and the rest; the harness and shared messages are in common/harness.rs.

--- a/dillhold/tests/common/mod.rs
+++ b/dillhold/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures: the program, and its callers, exchanges and journal service on loopback sockets.
 #![allow(dead_code)] // no test file uses every fixture
 
+pub mod harness;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
--- /dev/null
+++ b/dillhold/tests/engine_exchanges.rs
@@ -0,0 +1,418 @@
+//! Tests of the engine without sockets: links to exchanges, liveness checks, and whose calls end with what.
+
+mod common;
+
+use common::harness::*;
+use common::journal_target;
+use dillhold::codec::{binary, sip};
+use dillhold::engine::{ConnId, Output};
+use pitchgw::interface::Nanos;
+
+/// Advances the time in steps and establishes each connection opened to a port. Returns their number.
+fn advance_with_port_up(harness: &mut EngineHarness, port: u16, span: Nanos) -> usize {
+    let (until, mut up, mut count) = (harness.now + span, harness.last_connect_to(port), 0);
+    while harness.now < until {
+        harness.advance(50 * MS);
+        if harness.last_connect_to(port) != up {
+            up = harness.last_connect_to(port);
+            harness.establish(port);
+            count += 1;
+        }
+    }
+    count
+}
+
+/// An event of the journal about machines at the port of exchange 1: uids and states.
+fn journal_event(pos: u64, targets: &[(&str, &str)]) -> Vec<u8> {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let targets: Vec<_> = targets.iter().map(|(uid, state)| journal_target(1, uid, address, state)).collect();
+    let event = serde_json::json!({"pos": pos, "hosts": {"rev": pos, "all": false, "targets": targets}});
+    journal_answer(&event.to_string())
+}
+
+/// Sets up a call at an exchange that was just connected, and loses the connection to its process. Returns the connection
+/// to the process that comes up at the same address, where a second call stands.
+fn replace_process(harness: &mut EngineHarness, caller: ConnId) -> ConnId {
+    let exchange = harness.establish(1);
+    establish_call(harness, caller, exchange, 7);
+    harness.advance(1_000 * MS);
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(MS);
+    let successor = harness.establish(1);
+    // Not reported: how many circuits are in use.
+    establish_call(harness, caller, successor, 8);
+    harness.advance(1_000 * MS);
+    harness.take_written(successor);
+    successor
+}
+
+/// Takes the set-ups that were written on the connection of an exchange: call ids and numbers of `CSeq`.
+fn take_set_ups(harness: &mut EngineHarness, exchange: ConnId) -> Vec<(u64, u32)> {
+    let bytes = harness.take_written(exchange);
+    let (mut rest, mut set_ups) = (&bytes[..], Vec::new());
+    while let Some((message, length)) = sip::parse(rest).unwrap() {
+        let cseq = message.cseq().filter(|(_, method)| *method == b"INVITE");
+        set_ups.extend(
+            message.call_id().zip(cseq.map(|(number, _)| number)).filter(|_| message.uri().is_some()),
+        );
+        rest = &rest[length..];
+    }
+    set_ups
+}
+
+fn error_response(id: u64, number: u32) -> Vec<u8> {
+    format!("SIP/2.0 500 Error\r\nCall-ID: {id:016x}\r\nCSeq: {number} INVITE\r\nl: 0\r\n\r\n").into_bytes()
+}
+
+#[test]
+fn releases_calls_of_vanished_exchange_without_journal_update() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    establish_call(&mut harness, caller, exchange, 7);
+    // The connection stays open and silent, and no connection opened from now on is established.
+    harness.advance(4_000 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), [], "a network may be cut for some seconds");
+    harness.advance(4_000 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 7, Some(41))]);
+}
+
+#[test]
+fn keeps_calls_of_idle_reachable_exchange_with_few_checks() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    establish_call(&mut harness, caller, exchange, 7);
+    let checks = advance_with_port_up(&mut harness, 1, 30_000 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), []);
+    assert!((4..=15).contains(&checks), "{checks} checks in 30 s");
+    let connections = harness.outputs.iter().filter_map(|o| match o {
+        Output::Connect { conn, to } if to.port() == 1 => Some(*conn),
+        _ => None,
+    });
+    assert_eq!(connections.filter(|conn| !harness.is_closed(*conn)).count(), 2, "one check at a time");
+    // After the release of the only call the exchange is not checked any more.
+    let newest = harness.last_connect_to(1).unwrap();
+    harness.receive(newest, &bye_request(7));
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 7, Some(16))]);
+    assert_eq!(advance_with_port_up(&mut harness, 1, 10_000 * MS), 0);
+}
+
+/// A machine may accept connections while its process is gone or suspended.
+#[test]
+fn releases_calls_of_exchange_that_accepts_connections_without_greeting() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    harness.receive(exchange, &group_report(9));
+    establish_call(&mut harness, caller, exchange, 7);
+    advance_with_port_up(&mut harness, 1, 8_000 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 7, Some(41))]);
+}
+
+#[test]
+fn processes_input_on_liveness_check_and_releases_calls_at_returning_exchange() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    establish_call(&mut harness, caller, exchange, 7);
+    establish_call(&mut harness, caller, exchange, 8);
+    harness.advance(2_500 * MS);
+    let check = harness.establish(1);
+    assert_ne!(check, exchange);
+    harness
+        .receive(check, b"BYE sip:x@net SIP/2.0\r\nCall-ID: 0000000000000007\r\nCSeq: 2 BYE\r\nl: 0\r\n\r\n");
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 7, Some(16))]);
+    assert!(starts_with_text(&harness.take_written(check), "SIP/2.0 200 OK"));
+    harness.advance(8_000 * MS);
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 8, Some(41))]);
+    assert!(harness.is_closed(exchange) && harness.is_closed(check));
+    let again = harness.establish(1);
+    assert!(
+        starts_with_text(&harness.take_written(again), "BYE "),
+        "the call may still stand at the exchange"
+    );
+}
+
+/// Liveness checks that succeed must not hide that the exchange's connection is dead: releases of its calls sent
+/// there would be lost.
+#[test]
+fn replaces_silent_connection_while_liveness_checks_succeed() {
+    let mut harness = EngineHarness::new();
+    let (silent, caller) = (harness.establish(1), harness.accept_caller());
+    harness.receive(silent, &group_report(9));
+    establish_call(&mut harness, caller, silent, 7);
+    harness.advance(2_100 * MS);
+    let check = harness.establish(1);
+    for _ in 0..5 {
+        harness.receive(check, &group_report(8));
+        harness.advance(600 * MS);
+    }
+    assert!(harness.is_closed(silent) && !harness.is_closed(check));
+    let again = harness.establish(1);
+    assert!(again != silent && again != check);
+    harness.receive(again, &bye_request(7));
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 7, Some(16))]);
+}
+
+/// Guards against taking an exchange that lost its calls while unreachable, and keeps its address and id, for one
+/// that was only cut off; the calls would stand until the journal reports its start.
+#[test]
+fn releases_calls_only_if_returning_exchange_has_lost_them() {
+    // Free circuits of nine, whether a connect fails before, and when the nine calls are released, if they are.
+    let (at_first_comparison, at_exact_comparison) = (Some(700), Some(3_100));
+    for (free, connect_fails, released_after_ms) in [
+        (9, true, at_first_comparison),
+        (5, true, at_first_comparison),
+        (4, true, at_exact_comparison),
+        (0, true, None),
+        (9, false, at_first_comparison),
+        (0, false, None),
+    ] {
+        let mut harness = EngineHarness::new();
+        let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+        harness.receive(exchange, &group_report(9));
+        for id in 1..=9 {
+            establish_call(&mut harness, caller, exchange, id);
+        }
+        harness.receive(exchange, &group_report(0));
+        harness.advance(1_100 * MS);
+        harness.run_turn(|e| e.connection_lost(exchange));
+        harness.advance(300 * MS);
+        if connect_fails {
+            let refused = harness.last_connect_to(1).unwrap();
+            harness.run_turn(|e| e.connect_failed(refused, true));
+            harness.advance(300 * MS);
+        }
+        let again = harness.establish(1);
+        harness.receive(again, &group_report(free));
+        harness.advance(500 * MS);
+        assert_eq!(take_notifications(&mut harness, caller), [], "the exchange may still send releases");
+        harness.advance((released_after_ms.unwrap_or(4_000) - 500) * MS);
+        let cut = take_notifications(&mut harness, caller);
+        assert_eq!(cut.len(), if released_after_ms.is_some() { 9 } else { 0 }, "{free} of 9 free: {cut:?}");
+    }
+}
+
+/// Unacknowledged releases are sent again on a new connection. Guards against sending so many that the connection is
+/// closed for its unsent bytes.
+#[test]
+fn limits_releases_repeated_to_returning_exchange() {
+    const CALLS: u64 = 3_000;
+    const MAX_REPEATED: usize = 1_024;
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    for id in 1..=CALLS {
+        harness.receive_set_up(caller, id);
+        harness.receive(exchange, &ok_response(id));
+    }
+    harness.advance(8_000 * MS);
+    let again = harness.establish(1);
+    harness.advance(10 * MS);
+    assert!(!harness.is_closed(again));
+    let written = harness.take_written(again);
+    let byes = written.windows(4).filter(|w| w == b"BYE ").count();
+    assert_eq!(byes, MAX_REPEATED, "as many as the unsent bytes of a connection allow");
+    assert!(written.len() <= 256 * 1024, "{} bytes at once", written.len());
+}
+
+/// Guards against a call from before the start that is left standing: its release was lost when the connection to its
+/// exchange was.
+#[test]
+fn repeats_release_of_unknown_call_on_the_next_connection() {
+    let mut harness = EngineHarness::new();
+    let caller = harness.accept_caller();
+    harness.receive(caller, &release_message(99));
+    harness.advance(600 * MS); // the connection did not come up in time
+    harness.advance(250 * MS);
+    let exchange = harness.establish(1);
+    assert!(starts_with_text(&harness.take_written(exchange), "BYE "));
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(300 * MS);
+    let exchange = harness.establish(1);
+    assert!(starts_with_text(&harness.take_written(exchange), "BYE "));
+    let heard = format!("SIP/2.0 200 OK\r\nCall-ID: {:016x}\r\nCSeq: 1000 BYE\r\nl: 0\r\n\r\n", 99);
+    harness.receive(exchange, heard.as_bytes());
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(300 * MS);
+    let exchange = harness.establish(1);
+    assert!(harness.take_written(exchange).is_empty(), "the exchange has heard it");
+}
+
+/// Guards against calls of a new process that are released when the journal reports the end of the old one, at whose
+/// address it came up, and that are left standing there.
+#[test]
+fn calls_of_a_successor_at_the_same_address_outlive_its_predecessor() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    replace_process(&mut harness, caller);
+    harness.receive(journal, &journal_event(2, &[("s-1", "DELETED"), ("s-9", "SERVING")]));
+    let successor = harness.establish(1);
+    harness.advance(500 * MS);
+    let cut = take_notifications(&mut harness, caller);
+    assert_eq!(cut, [(binary::kind::RELEASE, 7, Some(41))], "only the call of the old process has ended");
+    harness.receive(caller, &release_message(8));
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(successor)).into_owned();
+    assert!(to_exchange.contains(&format!("Call-ID: {:016x}\r\nCSeq: 1000 BYE", 8)), "{to_exchange}");
+}
+
+/// While the journal has not reported the new process, it is not certain which one answered. Its caller is told that the
+/// call is over, and then nothing may be left standing.
+#[test]
+fn calls_of_a_machine_that_is_gone_are_released_at_its_address_too() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    let link = replace_process(&mut harness, caller);
+    harness.receive(journal, &journal_event(2, &[("s-1", "DELETED")]));
+    harness.advance(500 * MS);
+    assert_eq!(take_notifications(&mut harness, caller).len(), 2);
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(link)).into_owned();
+    assert!(to_exchange.contains(&format!("Call-ID: {:016x}\r\nCSeq: 1000 BYE", 8)), "{to_exchange}");
+    assert!(harness.is_closed(link), "the machine is removed");
+}
+
+/// A machine that vanishes resets nothing: its last calls are taken for those of its successor until that reports how many
+/// circuits are in use.
+#[test]
+fn calls_moved_to_a_successor_that_has_none_end() {
+    for (free, calls_end) in [(9, true), (8, false)] {
+        let mut harness = EngineHarness::new();
+        let (journal, caller) = (harness.establish(9), harness.accept_caller());
+        replace_process(&mut harness, caller);
+        harness.receive(journal, &journal_event(2, &[("s-1", "DELETED"), ("s-9", "SERVING")]));
+        let successor = harness.establish(1);
+        harness.receive(successor, &group_report(free));
+        harness.advance(1_000 * MS);
+        let cut = take_notifications(&mut harness, caller);
+        let expected = [(binary::kind::RELEASE, 7, Some(41)), (binary::kind::RELEASE, 8, Some(41))];
+        assert_eq!(cut, &expected[..if calls_end { 2 } else { 1 }], "{free} of 9 free");
+    }
+}
+
+/// Guards against a call that stands at a machine which is not known any more, so that its release is not passed on: it was
+/// answered on the link to the old machine just before that was removed (seed 5000 of the soak).
+#[test]
+fn call_answered_before_its_machine_is_removed_is_released() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    let link = replace_process(&mut harness, caller);
+    harness.receive_set_up(caller, 9);
+    harness.receive(journal, &journal_event(2, &[("s-1", "DELETED"), ("s-9", "SERVING")]));
+    let successor = harness.establish(1);
+    harness.receive(link, &group_report(1));
+    harness.advance(260 * MS);
+    harness.receive(link, &ok_response(9));
+    harness.advance(500 * MS);
+    assert!(harness.is_closed(link));
+    take_notifications(&mut harness, caller);
+    harness.receive(successor, &bye_request(9));
+    assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 9, Some(16))]);
+}
+
+/// Guards against two attempts out at once: an exchange that fails set-ups is tried again at once, and the second copy of
+/// its answer, some milliseconds later, was taken for the end of the next attempt.
+#[test]
+fn second_copy_of_a_failure_names_an_attempt_that_has_ended() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    // The exchange is known to repeat the numbers of requests, and to fail.
+    for id in 1..=4 {
+        harness.receive_set_up(caller, id);
+        let (call, number) = take_set_ups(&mut harness, exchange)[0];
+        harness.receive(exchange, &error_response(call, number));
+        harness.receive(caller, &release_message(id));
+    }
+    harness.take_written(exchange);
+    harness.receive_set_up(caller, 9);
+    let (_, first) = take_set_ups(&mut harness, exchange)[0];
+    harness.advance(20 * MS);
+    harness.receive(exchange, &error_response(9, first));
+    harness.advance(10 * MS);
+    let second = take_set_ups(&mut harness, exchange);
+    assert_eq!(second.len(), 1, "the exchange is at fault: one more attempt, which is out");
+    harness.receive(exchange, &error_response(9, first));
+    harness.advance(150 * MS);
+    assert_eq!(take_set_ups(&mut harness, exchange), [], "the copy ends no attempt");
+    // Its own answer ends it.
+    harness.receive(exchange, &ok_response(9));
+    assert!(take_notifications(&mut harness, caller).contains(&(binary::kind::ANSWER, 9, None)));
+}
+
+/// Guards against calls that are released although they stand: an exchange that takes no more connections refuses liveness
+/// checks, while its own connection is in order.
+#[test]
+fn refused_liveness_checks_end_no_calls_while_the_connection_of_the_exchange_lives() {
+    for answers_tests in [true, false] {
+        let mut harness = EngineHarness::new();
+        let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+        establish_call(&mut harness, caller, exchange, 7);
+        harness.take_written(exchange);
+        let (mut checks, mut tests) = (0, 0);
+        for _ in 0..200 {
+            let check = harness.last_connect_to(1).unwrap();
+            if check != exchange && !harness.is_closed(check) {
+                harness.run_turn(|e| e.connect_failed(check, true));
+                checks += 1;
+            }
+            if starts_with_text(&harness.take_written(exchange), "OPTIONS sip:ping@net ") {
+                tests += 1;
+                let passed = "SIP/2.0 200 OK\r\nCall-ID: 0000000000000000\r\nCSeq: 1 OPTIONS\r\nl: 0\r\n\r\n";
+                harness.receive(exchange, if answers_tests { passed.as_bytes() } else { b"" });
+            }
+            harness.advance(50 * MS);
+        }
+        assert!(tests >= 3 && (tests == checks || !answers_tests), "{checks} refused checks, {tests} tests");
+        let cut = take_notifications(&mut harness, caller);
+        // An exchange that does not answer has vanished for this process.
+        assert_eq!(cut.is_empty(), answers_tests, "{cut:?}");
+    }
+}
+
+/// Guards against closing the connection of an exchange that drains, for want of a reply to a set-up that was withdrawn.
+#[test]
+fn no_reply_is_due_to_a_set_up_that_was_withdrawn() {
+    let mut harness = EngineHarness::new();
+    let (journal, exchange) = (harness.establish(9), harness.establish(1));
+    let caller = harness.accept_caller();
+    let drain = journal_event(2, &[("s-1", "DRAINING")]);
+    harness.blocked.insert(exchange);
+    harness.receive_set_up(caller, 7);
+    harness.receive(journal, &drain);
+    harness.advance(500 * MS);
+    assert!(!harness.is_closed(exchange));
+}
+
+#[test]
+fn reconnects_after_connect_timeout_and_delay() {
+    let mut harness = EngineHarness::new();
+    let first = harness.last_connect_to(1).unwrap();
+    harness.advance(499 * MS);
+    assert!(!harness.is_closed(first), "before the connect timeout of the settings");
+    harness.advance(MS);
+    assert!(harness.is_closed(first));
+    harness.advance(249 * MS);
+    assert_eq!(harness.last_connect_to(1), Some(first));
+    harness.advance(MS);
+    assert_ne!(harness.last_connect_to(1), Some(first));
+}
+
+#[test]
+fn replaces_connection_silent_after_set_up_and_doubles_its_timeout() {
+    let mut harness = EngineHarness::new();
+    let (first, caller) = (harness.establish(1), harness.accept_caller());
+    harness.advance(1_000 * MS);
+    harness.receive_set_up(caller, 7);
+    assert!(starts_with_text(&harness.take_written(first), "INVITE "));
+    harness.advance(199 * MS);
+    assert!(!harness.is_closed(first));
+    harness.advance(MS);
+    assert!(harness.is_closed(first), "no input for 200 ms");
+    harness.advance(MS);
+    let second = harness.establish(1);
+    assert_ne!(first, second);
+    // The exchange may still hold circuits for the attempt: the call waits for their release before it is sent again.
+    harness.advance(348 * MS);
+    assert!(harness.take_written(second).is_empty());
+    harness.advance(MS);
+    assert!(starts_with_text(&harness.take_written(second), "INVITE "));
+    harness.advance(399 * MS);
+    assert!(!harness.is_closed(second));
+    harness.advance(MS);
+    assert!(harness.is_closed(second));
+}
