Keep a part of each turn's budget for callers with a backlog

Change: connections within their allowance come first up to half of the budget, those over it up to three quarters; the rest is for new input.

--- a/dillhold/src/engine/input_budget.rs
+++ b/dillhold/src/engine/input_budget.rs
@@ -4,7 +4,7 @@
 //! many clients nor one that sends at full speed make a turn collect more commands than memory allows. What exceeds them
 //! is deferred to later turns; meanwhile the connection is not read, and the rest of its input stays in the socket.
 //! Connections that exceed their allowance take turns with a share of the budget each. They cannot use it up: other
-//! connections are served at once, within their allowances, and before them if the budget of a turn was used up.
+//! connections are served at once, within their allowances, and first in the next turn if a budget was used up.
 
 use std::collections::VecDeque;
 
@@ -18,8 +18,11 @@
 
 /// The budget of a turn.
 const MAX_COST_PER_TURN: Cost = 1_024;
-/// The part of it that is for connections over their allowance.
-const MAX_DEFERRED_COST_PER_TURN: Cost = 512;
+/// What of it is used before only connections over their allowance are served among those with deferred input, so that
+/// neither kind waits for ever.
+const MAX_COST_WITHIN_ALLOWANCE: Cost = 512;
+/// What of it is used before no more deferred input is processed.
+const MAX_DEFERRED_COST_PER_TURN: Cost = 768;
 /// The allowance of a connection, and what it gets when it is its turn.
 const MAX_COST_PER_CONNECTION: Cost = 64;
 /// The time in which one unit of an allowance is restored.
@@ -75,15 +78,12 @@
 
     /// Takes the next connection with deferred input that can be served in this turn.
     fn next_waiting(&mut self) -> Option<ConnId> {
-        if self.used >= MAX_COST_PER_TURN {
+        if self.used >= MAX_DEFERRED_COST_PER_TURN {
             return None;
         }
-        self.within_allowance.pop_front().or_else(|| {
-            if self.used >= MAX_DEFERRED_COST_PER_TURN {
-                return None;
-            }
-            self.over_allowance.pop_front()
-        })
+        let within_allowance =
+            if self.used < MAX_COST_WITHIN_ALLOWANCE { self.within_allowance.pop_front() } else { None };
+        within_allowance.or_else(|| self.over_allowance.pop_front())
     }
 }
 
--- a/dillhold/tests/engine_overload.rs
+++ b/dillhold/tests/engine_overload.rs
@@ -255,3 +255,37 @@
     let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
     assert!(to_exchange.contains("BYE ") && !to_exchange.contains("INVITE "), "{to_exchange}");
 }
+
+/// Guards against a caller with a backlog that is never served while ever new connections use up the budget of each turn.
+#[test]
+fn ever_new_connections_do_not_starve_one_with_a_backlog() {
+    let mut harness = EngineHarness::with_limits(1024, 32);
+    let exchange = harness.establish(1);
+    let caller = harness.accept_caller();
+    let backlog: Vec<u8> = (0..100).flat_map(|n| set_up_message(1_000 + n, b"none")).collect();
+    receive_at_once(&mut harness, &[(caller, [backlog, set_up_message(7, b"view")].concat())]);
+    harness.take_written(exchange);
+    let mut crowd: Vec<ConnId> = Vec::new();
+    for _ in 0..100 {
+        harness.now += 5 * MS;
+        harness.engine.begin_turn(harness.now);
+        for conn in crowd.drain(..) {
+            harness.engine.connection_lost(conn);
+        }
+        for _ in 0..40 {
+            let conn = harness.engine.accepted().expect("capacity for a caller");
+            for n in 0..20 {
+                let message = set_up_message((conn << 20) + n, b"none");
+                harness.engine.read_buffer(conn).unwrap()[..message.len()].copy_from_slice(&message);
+                harness.engine.bytes_read(conn, message.len());
+            }
+            crowd.push(conn);
+        }
+        harness.engine.handle_deadlines();
+        harness.finish_turn();
+        if starts_with_text(&harness.take_written(exchange), "INVITE ") {
+            return;
+        }
+    }
+    panic!("the set-up behind the backlog was not carried out in 500 ms");
+}
