Acknowledge the release of a call from before the start once its wait has ended

Cause: a release that waits for a caller was acknowledged to its exchange at once, and lost with the process. The shutdown cannot wait for it: no caller connects any more.

Change: the acknowledgement is held until a confirmed caller was sent the release or its time is over. An exchange sends what was not acknowledged on its next connection too.

--- a/dillhold/src/call/standing.rs
+++ b/dillhold/src/call/standing.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Whether the release of this call by an exchange is news about a call from before this process started.
+    pub fn is_release_of_unknown_call(&self, id: u64) -> bool {
+        !self.calls_by_id.contains_key(&id) && !self.ended_calls.contains(id)
+    }
+
     pub(super) fn handle_exchange_release(&mut self, now: Nanos, exchange: ExchangeId, id: u64, cause: u8) {
         self.counters.increment("taken releases from exchanges");
         let Some(call) = self.calls_by_id.get(&id) else {
--- a/dillhold/src/engine/callers.rs
+++ b/dillhold/src/engine/callers.rs
@@ -112,11 +112,15 @@
             _ => (own_conn, None),
         };
         if let Some(conn_id) = recipient {
-            return self.write_caller(conn_id, call_id, notification);
-        }
-        if !release_cause.is_some_and(|cause| self.queue_release(call_id, cause)) {
+            self.write_caller(conn_id, call_id, notification);
+        } else if release_cause.is_some_and(|cause| self.queue_release(call_id, cause)) {
+            return;
+        } else {
             self.calls.counters.increment("errors answers without a connection");
         }
+        if release_cause.is_some() && conn.is_none() {
+            self.acknowledge_release(call_id);
+        }
     }
 
     /// Whether a caller's connection can be written to, and its caller is still heard.
--- a/dillhold/src/engine/release_delivery.rs
+++ b/dillhold/src/engine/release_delivery.rs
@@ -3,7 +3,8 @@
 //! A release is sent on the connection of the call's set-up, otherwise on the newest connection with a confirmed caller:
 //! one that was sent an answer for a standing call. After a start nobody is confirmed at first, and a release of a call
 //! from before is queued. It stands in the queue once, and leaves it only when a confirmed caller was sent it, or when
-//! [`RELEASE_DELIVERY_SPAN`] is over.
+//! [`RELEASE_DELIVERY_SPAN`] is over. Only then is it acknowledged to its exchange, which sends it again to the next process
+//! otherwise.
 //!
 //! Meanwhile copies are sent on connections that may have a caller, the likeliest first, after
 //! [`RELEASE_DELIVERY_INTERVAL`] and then on others at every interval, on [`MAX_COPIES`] open connections at most. A copy
@@ -123,10 +124,26 @@
                 return;
             };
             caller.send_release(self.now, call_id, release.cause, has_copy);
+            self.acknowledge_release(call_id);
         }
         self.needs_flush.insert(confirmed);
     }
 
+    /// Acknowledges a release of a call from before the start to the exchange that sent it: its wait has ended.
+    pub(super) fn acknowledge_release(&mut self, call_id: u64) {
+        for link in self.links.values_mut() {
+            if link.session.acknowledge_release(call_id) {
+                self.needs_flush.extend(link.conn);
+            }
+            let check_conn = link.check_conn.and_then(|conn_id| self.conns.get_mut(&conn_id));
+            if let Some(Peer::Check(check)) = check_conn.map(|conn| &mut conn.peer) {
+                if check.session.acknowledge_release(call_id) {
+                    self.needs_flush.extend(link.check_conn);
+                }
+            }
+        }
+    }
+
     /// Sends further copies of the releases that have waited for long enough, and drops those whose time is over.
     pub(super) fn deliver_waiting_releases(&mut self) {
         self.release_queue.delivery_scheduled = false;
@@ -137,12 +154,12 @@
             release.next_copies_at = now + RELEASE_DELIVERY_INTERVAL;
             self.send_copies(*call_id, release, &possible_callers);
         }
-        let count = waiting.len();
-        waiting.retain(|_, release| !release.is_over(now));
-        for _ in waiting.len()..count {
+        let (over, waiting) = waiting.into_iter().partition(|(_, release)| release.is_over(now));
+        self.release_queue.waiting = waiting;
+        for call_id in BTreeMap::into_keys(over) {
             self.calls.counters.increment("errors releases without a confirmed caller");
+            self.acknowledge_release(call_id);
         }
-        self.release_queue.waiting = waiting;
         self.schedule_release_delivery();
     }
 
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -18,6 +18,8 @@
 const MAX_UNACKED_RELEASES: usize = 1024;
 /// The same for releases of calls that this process does not know; the oldest is evicted first.
 const MAX_UNACKED_UNKNOWN_RELEASES: usize = 256;
+/// Releases of an exchange whose acknowledgement is held; others are acknowledged at once.
+const MAX_HELD_ACKNOWLEDGEMENTS: usize = 1024;
 /// How long such a release is repeated. An exchange at which the call does not stand need not acknowledge it.
 const UNKNOWN_RELEASE_RETENTION: Nanos = 10_000 * MS;
 
@@ -32,6 +34,8 @@
     pub incomplete_since: Option<Nanos>,
     /// Whether a request was written for the current connection, or for the next one.
     pub has_requests: bool,
+    /// Releases of the exchange that are acknowledged once a caller was told of them.
+    held_acks: HeldAcknowledgements,
     /// Causes of the releases that the exchange has not acknowledged, by call id.
     unacked_releases: BTreeMap<u64, u8>,
     /// The same for releases of calls that this process does not know, oldest first.
@@ -45,7 +49,33 @@
     cause: u8,
 }
 
+/// Releases of calls from before this process started, each with the number of its `CSeq`. An exchange sends a release that
+/// was not acknowledged on the next connection too, so that one which still waits for a caller outlives this process.
+#[derive(Debug, Default)]
+struct HeldAcknowledgements {
+    cseq_by_call: BTreeMap<u64, u32>,
+}
+
+impl HeldAcknowledgements {
+    /// Holds an acknowledgement. Returns false if too many are held.
+    fn hold(&mut self, call_id: u64, cseq_number: u32) -> bool {
+        let has_room = self.cseq_by_call.len() < MAX_HELD_ACKNOWLEDGEMENTS;
+        if has_room {
+            self.cseq_by_call.insert(call_id, cseq_number);
+        }
+        has_room
+    }
+}
+
 impl ExchangeSession {
+    /// Acknowledges the release of a call from before this process started. Returns whether it was held until now.
+    pub fn acknowledge_release(&mut self, call_id: u64) -> bool {
+        let Some(cseq_number) = self.held_acks.cseq_by_call.remove(&call_id) else { return false };
+        let id = format!("{call_id:016x}");
+        write_ok_response(id.as_bytes(), (cseq_number, "BYE"), self.write_buffer.buffer());
+        true
+    }
+
     /// Processes the messages in the read buffer. After an error the connection has to be closed.
     pub fn process_input(
         &mut self,
@@ -55,12 +85,13 @@
     ) -> Result<(), ParseError> {
         let (out, unacked_releases) = (&mut self.write_buffer, &mut self.unacked_releases);
         let unacked_unknown_releases = &mut self.unacked_unknown_releases;
+        let held_acks = &mut self.held_acks;
         let (incomplete_since, mut completed) = (self.incomplete_since, false);
         process_messages(&mut self.read_buffer, |unread| {
             let Some((message, consumed)) = sip::parse(unread)? else { return Ok(None) };
             match message.start_line {
                 StartLine::Request(method) => {
-                    handle_request(now, from, method, &message, out.buffer(), calls)
+                    handle_request(now, from, method, &message, out.buffer(), held_acks, calls)
                 }
                 StartLine::Response(code) => {
                     let cseq = message.cseq();
@@ -162,6 +193,7 @@
     /// attempt numbers of the set-ups that were not written completely.
     pub fn connection_lost(&mut self, now: Nanos) -> Vec<(u64, u32)> {
         (self.read_buffer, self.incomplete_since) = (ReadBuffer::default(), None);
+        self.held_acks = HeldAcknowledgements::default();
         let unsent = self.write_buffer.clear();
         self.unacked_unknown_releases.retain(|release| now < release.sent_at + UNKNOWN_RELEASE_RETENTION);
         let known = self.unacked_releases.iter().map(|(id, cause)| (*id, *cause));
@@ -205,19 +237,28 @@
     method: &[u8],
     message: &Message<'_>,
     out: &mut Vec<u8>,
+    held_acks: &mut HeldAcknowledgements,
     calls: &mut Calls,
 ) {
     match method {
         b"BYE" => {
-            write_ok_response(message, "BYE", out);
-            if let Some(call_id) = parse_call_id(message.raw_call_id()) {
+            let call_id = parse_call_id(message.raw_call_id());
+            let cseq_number = message.cseq().map_or(1, |(number, _)| number);
+            let is_held = call_id.is_some_and(|call_id| {
+                calls.is_release_of_unknown_call(call_id) && held_acks.hold(call_id, cseq_number)
+            });
+            if !is_held {
+                write_ok_response(message.raw_call_id(), (cseq_number, "BYE"), out);
+            }
+            if let Some(call_id) = call_id {
                 let cause = message.cause().unwrap_or(16);
                 calls.handle_exchange_event(now, from, ExchangeEvent::Released { call_id, cause });
             }
         }
         b"OPTIONS" => {
             calls.counters.increment("answered tests");
-            write_ok_response(message, "OPTIONS", out);
+            let cseq_number = message.cseq().map_or(1, |(number, _)| number);
+            write_ok_response(message.raw_call_id(), (cseq_number, "OPTIONS"), out);
         }
         b"NOTIFY" => {
             let report = parse_group_report(message, calls);
@@ -227,10 +268,8 @@
     }
 }
 
-fn write_ok_response(message: &Message<'_>, method: &str, out: &mut Vec<u8>) {
-    let cseq_number = message.cseq().map_or(1, |(number, _)| number);
-    let start_line = format_args!("SIP/2.0 200 OK");
-    sip::write(out, start_line, message.raw_call_id(), (cseq_number, method), format_args!(""), b"");
+fn write_ok_response(call_id: &[u8], cseq: (u32, &str), out: &mut Vec<u8>) {
+    sip::write(out, format_args!("SIP/2.0 200 OK"), call_id, cseq, format_args!(""), b"");
 }
 
 /// Handles a response to a set-up. Exchanges may choose the number of `CSeq` freely, so that it does not always identify the
--- a/dillhold/tests/engine_releases.rs
+++ b/dillhold/tests/engine_releases.rs
@@ -123,3 +123,30 @@
     harness.run_turn(|e| e.connection_lost(caller));
     assert_eq!(table_size(&harness, "releases that wait for a caller"), 2);
 }
+
+/// Guards against a release that is lost with the process, as it was acknowledged to its exchange before any caller was told:
+/// an exchange sends what was not acknowledged to the next process too.
+#[test]
+fn release_of_a_call_from_before_the_start_is_acknowledged_once_its_wait_ends() {
+    for a_caller_comes in [true, false] {
+        let mut harness = EngineHarness::new();
+        let (exchange, idle) = (harness.establish(1), harness.accept_caller());
+        harness.receive(exchange, &bye_request(99));
+        harness.advance(2_000 * MS);
+        assert_eq!(take_notifications(&mut harness, idle), [(binary::kind::RELEASE, 99, Some(16))], "a copy");
+        assert!(harness.take_written(exchange).is_empty(), "it still waits for a caller");
+        if a_caller_comes {
+            let caller = harness.accept_caller();
+            harness.receive_set_up(caller, 7);
+            harness.receive(exchange, &ok_response(7));
+        } else {
+            harness.advance(8_000 * MS);
+        }
+        let to_exchange = String::from_utf8_lossy(&harness.take_written(exchange)).into_owned();
+        let acknowledgement = format!("SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {:016x}", 99);
+        assert!(to_exchange.contains(&acknowledgement), "{to_exchange}");
+        // Another copy of the release crosses its end.
+        harness.receive(exchange, &bye_request(99));
+        assert!(harness.take_written(exchange).starts_with(b"SIP/2.0 200 OK"));
+    }
+}
