Release calls at their exchange when the comparison with circuits ends them

Cause: the comparison says how many circuits are missing, not which calls; it ended all calls without a word to the exchange, as if all were lost.

Change: they are released at the exchange too, so that nothing is left standing. That all of them end stays: a machine that started anew has lost all.

--- a/dillhold/src/call/standing.rs
+++ b/dillhold/src/call/standing.rs
@@ -166,10 +166,15 @@
         }
     }
 
-    /// Ends all calls that stand on an exchange presumed dead. The exchange may only be unreachable, so
-    /// releases are queued for it as well.
-    pub fn cut_and_release_calls_of_exchange(&mut self, now: Nanos, exchange: ExchangeId) {
-        for (id, conn) in self.standing_calls_answered_before(exchange, Nanos::MAX) {
+    /// Ends the calls that stand on an exchange and were answered before a time, without word of the exchange. It may still
+    /// hold some of them, so that releases are queued for it as well.
+    pub fn cut_and_release_calls_of_exchange(
+        &mut self,
+        now: Nanos,
+        exchange: ExchangeId,
+        answered_before: Nanos,
+    ) {
+        for (id, conn) in self.standing_calls_answered_before(exchange, answered_before) {
             self.request_exchange(exchange, id, ExchangeRequest::Release(CAUSE_TEMPORARY_FAILURE));
             self.cut_standing_call(now, id, conn);
         }
--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -168,7 +168,7 @@
         let (conn, silent) = (link.conn, link.detector.silent_for(self.now));
         tracing::warn!(exchange = id, silent_ms = silent / MS, "exchange vanished: its calls are released");
         self.calls.counters.increment("errors exchanges vanished");
-        self.calls.cut_and_release_calls_of_exchange(self.now, id);
+        self.calls.cut_and_release_calls_of_exchange(self.now, id, Nanos::MAX);
         self.stop_check(id);
         if let Some(conn) = conn {
             self.close(conn, CloseReason::ExchangeVanished);
@@ -211,7 +211,7 @@
         if accounted_for < standing {
             tracing::warn!(exchange = id, standing, in_use = group.in_use, "exchange lost its calls");
             self.calls.counters.increment("errors exchanges without their calls");
-            self.calls.cut_calls_of_exchange(self.now, id, since);
+            self.calls.cut_and_release_calls_of_exchange(self.now, id, since);
         }
     }
 }
--- a/dillhold/tests/engine_exchanges.rs
+++ b/dillhold/tests/engine_exchanges.rs
@@ -416,3 +416,23 @@
     harness.advance(MS);
     assert!(harness.is_closed(second));
 }
+
+/// Guards against calls that are left standing: an exchange whose release waits in line reports one circuit less than calls
+/// stand, and all of them were ended without a word to it.
+#[test]
+fn calls_that_end_by_comparison_with_circuits_are_released_at_the_exchange() {
+    let mut harness = EngineHarness::new();
+    let (exchange, caller) = (harness.establish(1), harness.accept_caller());
+    for id in 1..=5 {
+        establish_call(&mut harness, caller, exchange, id);
+    }
+    harness.advance(1_100 * MS);
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(300 * MS);
+    let again = harness.establish(1);
+    harness.receive(again, &group_report(5));
+    harness.advance(4_000 * MS);
+    assert_eq!(take_notifications(&mut harness, caller).len(), 5, "four circuits in use");
+    let to_exchange = String::from_utf8_lossy(&harness.take_written(again)).into_owned();
+    assert_eq!(to_exchange.matches("BYE ").count(), 5);
+}
