Rehearsals: send what follows half a message on the next connection

Trace: machine 2 sends half of an answer, writes nine releases behind it at 2.33 s, the controller closes the unreadable connection 6 ms later, and the machine has vanished, so that nothing can be sent again. The callers are told 7.26 s after the end.

Cause: the stand-in counted those releases as sent, with one second for them.

Change: a connection on which half a message was sent carries no releases; they wait for the next one.

--- a/rehearsal/src/world/mod.rs
+++ b/rehearsal/src/world/mod.rs
@@ -151,6 +151,8 @@
     established: bool,
     /// The connection stays open, but bytes in both directions are dropped.
     silenced: bool,
+    /// Half of a message was sent to the controller, which cannot read anything behind it.
+    unreadable: bool,
     /// Present while the network to the node is partitioned.
     partition_buffer: Option<PartitionBuffer>,
     read_buffer: ReadBuffer,
@@ -539,6 +541,7 @@
                 endpoint,
                 established,
                 silenced: false,
+                unreadable: false,
                 partition_buffer: None,
                 read_buffer,
                 unsent,
@@ -616,9 +619,9 @@
 
     /// Whether bytes sent on a connection are delivered at once.
     fn delivers_now(&self, connection_id: SimConnectionId) -> bool {
-        self.connections
-            .get(&connection_id)
-            .is_some_and(|connection| !connection.silenced && connection.partition_buffer.is_none())
+        self.connections.get(&connection_id).is_some_and(|connection| {
+            !connection.silenced && !connection.unreadable && connection.partition_buffer.is_none()
+        })
     }
 
     /// Whether bytes sent on a connection are delivered, at once or after a network partition.
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -494,6 +494,9 @@
             // The connection is unusable after half a message, so the call at the node is cancelled.
             output.truncate(output.len() / 2);
             self.send(connection_id, &output);
+            if let Some(connection) = self.connections.get_mut(&connection_id) {
+                connection.unreadable = true;
+            }
             return self.cancel_leg(leg_id);
         }
         let observation = Observation::ResponseFromNode {
