Rehearsals: send no SIGHUP in the first second of a process

Cause: the stand-in reloaded a controller whose process had just been started.

Change: a reload that falls into the first second comes at its end.

--- a/rehearsal/src/world/incidents.rs
+++ b/rehearsal/src/world/incidents.rs
@@ -10,13 +10,16 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::nodes::Machine;
-use super::{seconds_to_nanos, Action, ConnectOutcome, Event, Signal, World, MS};
+use super::{seconds_to_nanos, Action, ConnectOutcome, Event, Signal, World, MS, SEC};
 use crate::script::{EventKind, Script, ScriptEvent, DEFAULT_DOWN_SECONDS, DEFAULT_DRAIN_SECONDS};
 
 /// Further signals sent to a terminating controller, with their time after the first SIGTERM.
 const REPEATED_SIGNALS: [(Nanos, Signal); 3] =
     [(100 * MS, Signal::Terminate), (650 * MS, Signal::Reload), (900 * MS, Signal::Interrupt)];
 
+/// A controller gets no SIGHUP earlier after its start.
+const MIN_AGE_AT_RELOAD: Nanos = SEC;
+
 /// Phase of a script event at one node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -199,7 +202,11 @@
             (EventKind::ControllerRestarted, Phase::Continue) => self.send_repeated_signal(node),
             (EventKind::ControllerRestarted, _) => self.kill_terminating(node),
             (EventKind::ControllerReloaded, _) => {
-                if self.running[node] {
+                let earliest = self.controller_starts[node].at + MIN_AGE_AT_RELOAD;
+                if self.now < earliest {
+                    let event = Event::ScriptEventPhase { event_index, node, phase: Phase::Continue };
+                    self.schedule_in(earliest - self.now, event);
+                } else if self.running[node] {
                     self.actions
                         .push_back(Action::SignalController { controller: node, signal: Signal::Reload });
                 }
