Give releases a number above that of any set-up

Found on the second read: set-ups have running numbers in CSeq since their responses are matched by them, and releases had 1000. From the thousandth set-up of a process on the release of a call had a lower number than its set-up, which RFC 3261 lets an exchange reject as out of order.

Change: releases have the highest number that is allowed, set-ups the numbers below.

--- a/dillhold/src/call/response_matcher.rs
+++ b/dillhold/src/call/response_matcher.rs
@@ -8,8 +8,10 @@
 
 use pitchgw::interface::ExchangeId;
 
-/// The last number of a request, as limited by RFC 3261; the first one follows it.
-const MAX_SEQUENCE: u32 = i32::MAX as u32;
+use crate::session::exchange::RELEASE_SEQUENCE;
+
+/// The last number of a set-up; the first one follows it.
+const MAX_SEQUENCE: u32 = RELEASE_SEQUENCE - 1;
 
 /// What the responses of an exchange have shown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -11,6 +11,10 @@
 use crate::codec::{parse_attributes, parse_call_id, ParseError};
 use crate::session::{incomplete_message_since, process_messages, ReadBuffer, WriteBuffer};
 
+/// The number of a release in `CSeq`, above that of any set-up: a request with a lower number than an earlier one of its call
+/// is out of order.
+pub(crate) const RELEASE_SEQUENCE: u32 = i32::MAX as u32;
+
 /// Set-ups are not sent while more bytes than this are pending.
 const MAX_PENDING_BYTES: usize = 128 * 1024;
 /// Unacknowledged releases that are kept; the one with the lowest call id is evicted first. All of them are
@@ -186,7 +190,7 @@
 
     fn write_release(&mut self, id: u64, cause: u8) {
         let headers = format_args!("Reason: Q.850;cause={cause}\r\n");
-        write_request(self.write_buffer.buffer(), "BYE", "sip:call@net", id, 1000, headers, b"");
+        write_request(self.write_buffer.buffer(), "BYE", "sip:call@net", id, RELEASE_SEQUENCE, headers, b"");
     }
 
     /// Resets the session after its connection was lost or could not be established. Returns the call ids and
