Test fixtures: read on after a system call that was interrupted

Trace: the fixture's own read of the exchange's connection ended with EINTR ('Interrupted system call'), which a read with a time-out returns after a signal even where calls are restarted. The program had done nothing wrong: no check failed.

Change: the fixture reads on after EINTR. What a test expects, and by when, is unchanged.

Measured: the five tests of the file pass; which signal came is not known.

--- a/dillhold/tests/common/mod.rs
+++ b/dillhold/tests/common/mod.rs
@@ -58,7 +58,11 @@
                 self.read_buffer.consume(length);
                 return message;
             }
-            let count = self.stream.read(self.read_buffer.unfilled()).expect("a message before the timeout");
+            let count = match self.stream.read(self.read_buffer.unfilled()) {
+                // A signal to the test, for instance while the machine is paused, says nothing about the program.
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
+                result => result.expect("a message before the timeout"),
+            };
             assert!(count > 0, "connection closed instead of a message");
             self.read_buffer.advance(count);
         }
