Log which connection an exchange has, when a process is reported as ended, and what moved calls

Change: log lines only: 'end of a process reported', 'call stands', the connection in 'exchange connected', the time of the answer in 'standing call moved to the successor'.

--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -408,6 +408,7 @@
             let route = self.directory.machine(attempt.exchange).map_or(call.destination, |m| m.number);
             meter.record_standing(call.metered(), route, call.number_handle);
         }
+        tracing::debug!(call = format_args!("{id:016x}"), exchange = attempt.exchange, "call stands");
         (call.called_number, call.description) = (Vec::new(), Vec::new());
         let (handle, conn) = (call.handle, call.caller_conn);
         self.mark_final_answer_given(id);
@@ -433,6 +434,7 @@
             self.dispatch_event(now, Event::ListUpdated(kind, entries));
         }
         for exchange in update.ended_machines {
+            self.log_reported_end(exchange);
             self.commands.push_back(Command::WithdrawSetUps(exchange));
             self.deadlines.add(now + ENDED_MACHINE_RELEASE_WINDOW, Deadline::MachineEnded(exchange));
         }
--- a/dillhold/src/call/standing.rs
+++ b/dillhold/src/call/standing.rs
@@ -74,6 +74,16 @@
         }
     }
 
+    /// Logs that the journal reported the end of a machine's process.
+    pub(super) fn log_reported_end(&self, exchange: ExchangeId) {
+        let Some(machine) = self.directory.machine(exchange) else { return };
+        let started_at_ms = machine.started_at.map(|at| at / MS);
+        let successor =
+            self.directory.successor(exchange).map(|(id, m)| (id, m.started_at.map(|at| at / MS)));
+        let (address, state, standing) = (machine.address, machine.state, self.standing_calls_at(exchange));
+        tracing::info!(exchange, %address, ?state, started_at_ms, ?successor, standing, "end of a process reported");
+    }
+
     /// Records that a connection of an exchange was lost or refused.
     pub fn exchange_process_may_have_ended(&mut self, exchange: ExchangeId) {
         self.incarnations.entry(exchange).or_default().possible_ends += 1;
@@ -91,10 +101,18 @@
 
     /// Records that a call stands at another machine than the one that it was sent to.
     fn move_standing_call(&mut self, id: u64, to: ExchangeId) {
-        let call = self.calls_by_id.get_mut(&id);
-        let Some(attempt) = call.and_then(|c| c.answered_attempt.as_mut()) else { return };
+        let Some(call) = self.calls_by_id.get_mut(&id) else { return };
+        let call_stands_since = call.stands_since;
+        let Some(attempt) = call.answered_attempt.as_mut() else { return };
         let from = std::mem::replace(&mut attempt.exchange, to);
-        tracing::debug!(call = format_args!("{id:016x}"), from, to, "standing call moved to the successor");
+        let stands_since_ms = call_stands_since / MS;
+        tracing::debug!(
+            call = format_args!("{id:016x}"),
+            from,
+            to,
+            stands_since_ms,
+            "standing call moved to the successor"
+        );
         self.counters.increment("taken calls over to a successor");
         self.decrement_standing_calls(from);
         self.increment_standing_calls(to);
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -132,6 +132,8 @@
 
     /// Handles an established connection to an exchange.
     pub(super) fn exchange_connected(&mut self, id: ExchangeId) {
+        let conn = self.links.get(&id).and_then(|link| link.conn);
+        tracing::info!(exchange = id, conn, "exchange connected");
         if let Some(link) = self.links.get_mut(&id) {
             link.refusals = 0;
             link.connected_at = self.now;
@@ -142,7 +144,6 @@
             }
             self.schedule_call_comparison(id);
         }
-        tracing::info!(exchange = id, "exchange connected");
         self.calls.counters.increment("sent exchange connections");
     }
 
