Reproduce calls of a dead process that are left standing, as a known failure

Cause: a process that boots before the one at its address has died has a boot_ms before the last answers of that one; is_answered_by_successor takes an answer read at or after it for the successor's.

--- a/dillhold/tests/common/mod.rs
+++ b/dillhold/tests/common/mod.rs
@@ -1,7 +1,9 @@
 //! Fixtures: the program, and its callers, exchanges and journal service on loopback sockets.
 #![allow(dead_code)] // no test file uses every fixture
 
+pub mod exchange;
 pub mod harness;
+pub mod journal;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -30,6 +32,9 @@
 pub const PARAM_CAUSE: u8 = 114;
 pub const PARAM_DESCRIPTION: u8 = 115;
 
+/// Only a failing test waits this long for a message; it allows for slow machines.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// A binary message: its kind, call id, cause (0 if it has none) and description.
 pub type ReceivedMessage = (u8, u64, u8, Vec<u8>);
 
@@ -41,8 +46,7 @@
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Connection {
-        // Only a failing test waits this long; it allows for slow machines.
-        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
         stream.set_nodelay(true).unwrap();
         Connection { stream, read_buffer: ReadBuffer::default() }
     }
@@ -68,6 +72,31 @@
         }
     }
 
+    /// Reads a binary message, for so long at most.
+    pub fn read_binary_within(&mut self, span: Duration) -> Result<ReceivedMessage, std::io::ErrorKind> {
+        let until = std::time::Instant::now() + span;
+        loop {
+            if let Some((message, length)) = binary::parse(self.read_buffer.unread()).unwrap() {
+                let description = message.parameter(binary::param::DESCRIPTION).unwrap_or_default().to_vec();
+                let received = (message.kind, message.call_id, message.cause().unwrap_or(0), description);
+                self.read_buffer.consume(length);
+                return Ok(received);
+            }
+            let left = until.saturating_duration_since(std::time::Instant::now());
+            self.stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).unwrap();
+            let read = self.stream.read(self.read_buffer.unfilled());
+            self.stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+            match read {
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e.kind()),
+                Ok(count) => {
+                    assert!(count > 0, "connection closed instead of a message");
+                    self.read_buffer.advance(count);
+                }
+            }
+        }
+    }
+
     /// Reads a binary message.
     pub fn read_binary(&mut self) -> ReceivedMessage {
         self.read_message(|bytes| {
@@ -200,8 +229,24 @@
 
 /// A target of a journal event.
 pub fn journal_target(number: usize, uid: &str, address: SocketAddr, state: &str) -> Value {
+    journal_target_started(number, uid, address, state, 0)
+}
+
+/// The same with the time at which the machine started, in Unix milliseconds.
+pub fn journal_target_started(
+    number: usize,
+    uid: &str,
+    address: SocketAddr,
+    state: &str,
+    boot_ms: u64,
+) -> Value {
     json!({"uid": uid, "endpoint": address, "az": "east", "model": "std", "pod_group": number,
-           "state": state, "capacity_hint": 1, "boot_ms": 0})
+           "state": state, "capacity_hint": 1, "boot_ms": boot_ms})
+}
+
+/// The present time, in Unix milliseconds.
+pub fn unix_now_ms() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
 pub fn config_path(name: &str) -> PathBuf {
