Know the process that answered a call by its connection, not by clocks and counts

Cause: which process answered was inferred, in four ways: the time of reading the answer against boot_ms of another machine (is_answered_by_successor, and cut_calls_of_exchange at a restart under the same id), a count of lost connections (Incarnation), and circuits in use. A process that boots before the one at its address has died, an answer under way, and a machine that vanishes each defeat one of them. Change: a call records the connection that brought its answer, the only certain thing. call/answering_process.rs keeps what each connection has shown: Running, UnderTest, MayHaveEnded. When the end of a process is reported at an address, every connection to it is sent a numbered test; whoever answers one that was sent after the report is not the process that ended. What is unproven after 250 ms is closed, and its calls end at both sides; the others stand on, and the link of a machine that is gone is kept for as long as they do. call/ended_processes.rs is the only place that decides; before, seven did: move_or_end_calls, is_answered_by_successor, the restart in end_calls_of_machine, two refusals that cut calls, the comparison and the declaration of a vanished machine. Releases of such calls wait for a connection for 10 s and are left to a successor at the address; they were lost with the link.

--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -1,8 +1,11 @@
 //! Messages between the call table and the connections, independent of any wire format. A further protocol
 //! needs a session that translates to and from these.
 
+use std::net::SocketAddr;
+
 use pitchgw::interface::{CallId, Cause, ExchangeId, LoadReport, Nanos, Outcome};
 
+use super::answering_process::{ExchangeConnId, ProcessTest};
 use crate::deadlines::Owned;
 
 /// Identifies a connection from callers. Ids are never reused.
@@ -62,6 +65,15 @@
     Bad,
 }
 
+/// Where a message of an exchange came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MessageSource {
+    /// The machine whose link the connection belongs to.
+    pub exchange: ExchangeId,
+    /// The connection.
+    pub conn: ExchangeConnId,
+}
+
 /// An event reported by an exchange.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ExchangeEvent<'a> {
@@ -130,9 +142,13 @@
     UpdateLinks,
     /// The first call stands on this exchange: check its liveness while calls stand there.
     StartLivenessChecks(ExchangeId),
-    /// Calls were found to stand on this exchange: compare them with the circuits that it reports.
+    /// Calls stand at the address of this exchange: compare them with the circuits that it reports.
     CompareCircuits(ExchangeId),
-    /// This machine is permanently gone: close its link.
+    /// Send a test on a connection to an exchange.
+    SendTest(ProcessTest),
+    /// Close a connection to an exchange on which a test was not answered.
+    CloseUnprovenConnection(ExchangeConnId),
+    /// This machine has left the list: close its link unless that is still needed.
     RemoveExchange(ExchangeId),
 }
 
@@ -190,9 +206,9 @@
     AttemptTimeout(u64, CallId, u32),
     /// Fail a call that still awaits its final answer; holds the call's id and handle.
     FinalAnswer(u64, CallId),
-    /// End the calls on a machine whose process has ended: the window for its own releases has passed.
-    MachineEnded(ExchangeId),
-    /// Remove a machine that has left the list: the releases of its last calls are written.
+    /// End the calls at an address whose process may have ended: the time of the tests is over.
+    ReviewProcesses(SocketAddr),
+    /// Remove a machine that has left the list.
     MachineRemoval(ExchangeId),
     /// Close the measurement interval.
     IntervalEnd,
@@ -223,7 +239,7 @@
             | Deadline::AttemptTimeout(_, handle, _)
             | Deadline::FinalAnswer(_, handle) => Some(DeadlineOwner::SetUp(*handle)),
             Deadline::Engine(deadline) => deadline.connection().map(DeadlineOwner::Connection),
-            Deadline::MachineEnded(_)
+            Deadline::ReviewProcesses(_)
             | Deadline::MachineRemoval(_)
             | Deadline::IntervalEnd
             | Deadline::ForgetEndedCalls
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -7,7 +7,9 @@
 //! still hold circuits, no attempt to an exchange that drains or is gone or that the call must not go to, and
 //! exactly one final answer before the caller's timeout.
 
+mod answering_process;
 mod attempts;
+mod ended_processes;
 mod messages;
 mod recent;
 mod response_matcher;
@@ -15,7 +17,7 @@
 mod standing;
 mod unknown_releases;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use measured::calendar::Calendar;
@@ -28,19 +30,15 @@
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
 use crate::directory::{Bounds, ControllerSettings, Directory, DirectoryUpdate};
+use answering_process::AnsweringProcesses;
+pub use answering_process::{ExchangeConnId, ProcessTest, TestNumber};
 pub use messages::*;
 use recent::{EndedCall, EndedCalls, NumberHandles};
 use response_matcher::ResponseMatcher;
 use set_ups::Rejection;
 pub use standing::GroupState;
-use standing::Incarnation;
 use unknown_releases::{CallerRelease, UnknownReleases};
 
-/// How long releases of a machine are still accepted after the journal reported that its process ended, as it
-/// is gone or was restarted. A machine that stops after a drain may leave its connections open without
-/// releasing its calls. The journal reports up to 7 s late, and the calls have to be released towards their
-/// callers within 8 s of their end.
-const ENDED_MACHINE_RELEASE_WINDOW: Nanos = 250 * MS;
 /// Q.850 cause 41, temporary failure: a set-up failed, or a standing call was cut.
 pub const CAUSE_TEMPORARY_FAILURE: u8 = 41;
 
@@ -87,8 +85,8 @@
     sent_on: bool,
     /// The attempt that was answered; set while the call stands.
     answered_attempt: Option<Attempt>,
-    /// The process that answered it.
-    answered_by: Incarnation,
+    /// The connection that brought the answer: it tells which process answered.
+    answered_on: ExchangeConnId,
     stands_since: Nanos,
     /// Whether the caller still awaits a final answer.
     awaits_final_answer: bool,
@@ -152,8 +150,9 @@
     refuses_set_ups: bool,
     /// The first group state that each exchange reported since its connection was established.
     group_states: HashMap<ExchangeId, GroupState>,
-    /// The process behind the link to each exchange; an exchange without a lost connection has no entry.
-    incarnations: HashMap<ExchangeId, Incarnation>,
+    processes: AnsweringProcesses,
+    /// Machines that have left the list and are being removed, with the time until which releases may wait there.
+    machine_removals: BTreeMap<ExchangeId, Nanos>,
     /// Memory of the set-ups that await a final answer.
     open_bytes: usize,
     bounds: Bounds,
@@ -197,7 +196,8 @@
             answer_by: None,
             refuses_set_ups: false,
             group_states: HashMap::new(),
-            incarnations: HashMap::new(),
+            processes: AnsweringProcesses::default(),
+            machine_removals: BTreeMap::new(),
             open_bytes: 0,
             bounds,
             queued_events: VecDeque::new(),
@@ -297,6 +297,7 @@
             ("ended calls", self.ended_calls.len()),
             ("commands", self.commands.len()),
             ("releases of unknown calls", self.unknown_releases.len()),
+            ("connections to exchanges", self.processes.len()),
             ("dialled numbers", self.number_handles.len()),
             ("calls in the module", module.calls),
             ("routes in the module", module.routes),
@@ -352,10 +353,11 @@
     }
 
     /// Handles an event reported by an exchange.
-    pub fn handle_exchange_event(&mut self, now: Nanos, exchange: ExchangeId, event: ExchangeEvent<'_>) {
+    pub fn handle_exchange_event(&mut self, now: Nanos, from: MessageSource, event: ExchangeEvent<'_>) {
+        let exchange = from.exchange;
         match event {
             ExchangeEvent::Answered { call_id, description } => {
-                self.handle_answer(now, exchange, call_id, description)
+                self.handle_answer(now, from, call_id, description)
             }
             ExchangeEvent::AttemptEnded { call_id, outcome, cause, report } => {
                 match self.pending_attempt_at(call_id, exchange) {
@@ -368,6 +370,7 @@
             }
             ExchangeEvent::GroupReport(report) => {
                 self.counters.increment("taken group states");
+                let exchange = self.listed_exchange(from);
                 let number = self.directory.machine(exchange).map(|m| m.number);
                 if let Some((free, size)) = report.free_circuits.zip(report.group_size) {
                     let in_use = (size - free).max(0.0);
@@ -385,7 +388,8 @@
         }
     }
 
-    fn handle_answer(&mut self, now: Nanos, exchange: ExchangeId, id: u64, description: &[u8]) {
+    fn handle_answer(&mut self, now: Nanos, from: MessageSource, id: u64, description: &[u8]) {
+        let exchange = from.exchange;
         let Some(attempt) = self.pending_attempt_at(id, exchange) else {
             self.counters.increment("taken answers too late");
             // The answer crossed the end of its attempt: the call stands at the exchange and has to be
@@ -403,12 +407,13 @@
         self.counters.increment("taken answers");
         let Some(call) = self.calls_by_id.get_mut(&id) else { return };
         (call.pending_attempt, call.answered_attempt, call.stands_since) = (None, Some(attempt), now);
-        call.answered_by = self.incarnations.get(&exchange).copied().unwrap_or_default();
+        call.answered_on = from.conn;
         if let Some(meter) = &mut self.meter {
             let route = self.directory.machine(attempt.exchange).map_or(call.destination, |m| m.number);
             meter.record_standing(call.metered(), route, call.number_handle);
         }
-        tracing::debug!(call = format_args!("{id:016x}"), exchange = attempt.exchange, "call stands");
+        let (call_id, exchange, conn) = (format_args!("{id:016x}"), attempt.exchange, from.conn);
+        tracing::debug!(call = call_id, exchange, conn, "call stands");
         (call.called_number, call.description) = (Vec::new(), Vec::new());
         let (handle, conn) = (call.handle, call.caller_conn);
         self.mark_final_answer_given(id);
@@ -434,9 +439,8 @@
             self.dispatch_event(now, Event::ListUpdated(kind, entries));
         }
         for exchange in update.ended_machines {
-            self.log_reported_end(exchange);
             self.commands.push_back(Command::WithdrawSetUps(exchange));
-            self.deadlines.add(now + ENDED_MACHINE_RELEASE_WINDOW, Deadline::MachineEnded(exchange));
+            self.handle_reported_end(now, exchange);
         }
         self.commands.push_back(Command::UpdateLinks);
     }
@@ -458,8 +462,8 @@
                     self.fail_set_up(now, id);
                 }
             }
-            Deadline::MachineEnded(exchange) => self.end_calls_of_machine(now, exchange),
-            Deadline::MachineRemoval(exchange) => self.remove_machine(now, exchange),
+            Deadline::ReviewProcesses(address) => self.review_processes(now, address),
+            Deadline::MachineRemoval(exchange) => self.commands.push_back(Command::RemoveExchange(exchange)),
             Deadline::IntervalEnd => self.close_intervals(now, false),
             Deadline::ForgetEndedCalls => {
                 self.forget_scheduled = false;
--- a/dillhold/src/call/set_ups.rs
+++ b/dillhold/src/call/set_ups.rs
@@ -4,7 +4,6 @@
 use pitchgw::interface::{Event, ExchangeId, Nanos, NewCall, Outcome};
 
 use super::recent::EndedCall;
-use super::standing::Incarnation;
 use super::unknown_releases::CallerRelease;
 use super::{
     unix_ms, Call, CallerConnId, CallerNotification, Calls, Conduct, Deadline, ExchangeRequest, SetUp,
@@ -174,7 +173,7 @@
                 pending_attempt: None,
                 sent_on: false,
                 answered_attempt: None,
-                answered_by: Incarnation::default(),
+                answered_on: 0,
                 stands_since: now,
                 awaits_final_answer: true,
                 next_attempt_at: now,
--- a/dillhold/src/engine/close_reason.rs
+++ b/dillhold/src/engine/close_reason.rs
@@ -21,6 +21,8 @@
     ExchangeQuiet,
     /// An exchange's message stayed incomplete.
     ExchangeMessageIncomplete,
+    /// The end of a process was reported at the exchange's address, and the one behind the connection passed no test.
+    ExchangeUnproven,
     /// The exchange gave no sign of life and is considered dead.
     ExchangeVanished,
     /// The journal service did not answer in time.
@@ -46,6 +48,7 @@
             CloseReason::ExchangeSilent => "closed exchanges that stayed silent",
             CloseReason::ExchangeQuiet => "closed exchanges that were quiet",
             CloseReason::ExchangeMessageIncomplete => "closed exchanges with half a message",
+            CloseReason::ExchangeUnproven => "closed exchanges without a passed test",
             CloseReason::JournalSilent => "errors journal silent",
             CloseReason::Unreadable => "errors unreadable",
             CloseReason::ExchangeVanished | CloseReason::Leaving | CloseReason::Finished => return None,
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -8,12 +8,14 @@
 use super::close_reason::CloseReason;
 use super::failure_detector::FailureDetector;
 use super::{ConnId, Disconnect, Engine, Peer};
-use crate::call::{AttemptProgress, Deadline, EngineDeadline, ExchangeRequest};
+use crate::call::{AttemptProgress, Deadline, EngineDeadline, ExchangeRequest, MessageSource, ProcessTest};
 use crate::clock::MS;
 use crate::session::exchange::ExchangeSession;
 
 /// Delay before reconnecting to an exchange that could not be reached.
 const RECONNECT_DELAY: Nanos = 250 * MS;
+/// The same for a machine that has left the list and may still hold calls that were released.
+const GONE_RECONNECT_DELAY: Nanos = 1_000 * MS;
 /// Refused connections in a row after which the exchange's process is known to have ended, and its calls with it. A
 /// single refusal may come from a listener that is being restarted, and standing calls are worth waiting for.
 const REFUSALS_UNTIL_ENDED: u32 = 3;
@@ -152,7 +154,8 @@
         let Some(link) = self.links.get_mut(&id) else { return false };
         link.record_input(self.now);
         let incomplete_before = link.session.incomplete_since;
-        let readable = link.session.process_input(self.now, id, &mut self.calls).is_ok();
+        let from = MessageSource { exchange: id, conn: conn_id };
+        let readable = link.session.process_input(self.now, from, &mut self.calls).is_ok();
         if link.session.incomplete_since.is_some() && link.session.incomplete_since != incomplete_before {
             self.calls.deadlines.replace(
                 self.now + INCOMPLETE_EXCHANGE_MESSAGE_TIMEOUT,
@@ -165,17 +168,53 @@
     pub(super) fn reconnect_exchange(&mut self, id: ExchangeId) {
         if let Some(link) = self.links.get_mut(&id) {
             link.reconnect_scheduled = false;
-            self.connect_exchange(id);
+            if self.needs_connection(id) {
+                self.connect_exchange(id);
+            }
+        }
+    }
+
+    /// Whether a link is to be connected. That of a machine which is gone is for its calls and their releases only.
+    fn needs_connection(&self, id: ExchangeId) -> bool {
+        let has_releases = self.links.get(&id).is_some_and(|link| link.session.has_unacked_releases());
+        !self.calls.directory.is_gone(id) || self.calls.standing_calls_at(id) > 0 || has_releases
+    }
+
+    /// Sends a test on a connection to an exchange.
+    pub(super) fn send_process_test(&mut self, test: ProcessTest) {
+        let session = match self.conns.get_mut(&test.conn).map(|conn| &mut conn.peer) {
+            Some(Peer::Exchange(id)) => self.links.get_mut(id).map(|link| &mut link.session),
+            Some(Peer::Check(check)) => Some(&mut check.session),
+            Some(Peer::Caller(_) | Peer::Journal(_)) | None => None,
+        };
+        if let Some(session) = session {
+            session.send_test(test.number);
+            self.needs_flush.insert(test.conn);
         }
     }
 
+    /// Closes the link of a machine that has left the list, unless it is still needed. Releases that the exchange has not
+    /// acknowledged are left to a successor at its address.
+    pub(super) fn remove_exchange(&mut self, id: ExchangeId) {
+        let has_releases = self.links.get(&id).is_some_and(|link| link.session.has_unacked_releases());
+        if !self.calls.can_remove_exchange(self.now, id, has_releases) {
+            return;
+        }
+        let link = self.links.get_mut(&id);
+        let releases = link.map(|link| link.session.take_unacked_releases()).unwrap_or_default();
+        if let Some((successor, _)) = self.calls.directory.successor(id) {
+            for (call_id, cause) in releases {
+                self.request_exchange(successor, call_id, &ExchangeRequest::Release(cause));
+            }
+        }
+        self.drop_link(id);
+        self.calls.remove_exchange(id);
+    }
+
     pub(super) fn exchange_disconnected(&mut self, id: ExchangeId, disconnect: Disconnect) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        let connect_failed = matches!(disconnect, Disconnect::ConnectFailed { .. });
-        let refused = disconnect.is_refusal();
-        if refused || disconnect == Disconnect::Lost {
-            self.calls.exchange_process_may_have_ended(id);
-        }
+        let (connect_failed, refused) = (disconnect.is_connect_failure(), disconnect.is_refusal());
+        let address = link.address;
         (link.conn, link.awaiting_reply_since) = (None, None);
         let unsent = link.session.connection_lost(self.now);
         let process_ended = refused && link.count_refusal(self.now);
@@ -186,16 +225,17 @@
             // An established connection is replaced at once, as the exchange may have something to send. One that was
             // lost right after it was established is not, to avoid a tight reconnect loop.
             link.reconnect_scheduled = true;
-            let delay = if connect_failed || self.now < link.connected_at + RECONNECT_DELAY {
-                RECONNECT_DELAY
-            } else {
-                0
+            let is_prompt = !connect_failed && self.now >= link.connected_at + RECONNECT_DELAY;
+            let delay = match is_prompt {
+                true => 0,
+                false if self.calls.directory.is_gone(id) => GONE_RECONNECT_DELAY,
+                false => RECONNECT_DELAY,
             };
             self.calls.deadlines.add(self.now + delay, Deadline::Engine(EngineDeadline::Reconnect(id)));
         }
         self.calls.exchange_disconnected(self.now, id, &unsent);
         if process_ended {
-            self.calls.cut_calls_of_exchange(self.now, id, Nanos::MAX);
+            self.calls.end_calls_of_ended_processes(self.now, address);
         }
     }
 
@@ -262,7 +302,7 @@
                     self.expect_reply(to);
                 }
             }
-            None if self.calls.directory.is_gone(to) => {}
+            None if !self.needs_connection(to) => {}
             None => self.connect_exchange(to),
         }
     }
--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -6,7 +6,7 @@
 use super::close_reason::CloseReason;
 use super::failure_detector::{Liveness, LIVENESS_CHECK_INTERVAL, LIVENESS_CHECK_TIMEOUT};
 use super::{ConnId, Engine, Peer};
-use crate::call::{Deadline, EngineDeadline};
+use crate::call::{Deadline, EngineDeadline, MessageSource, TestNumber};
 use crate::clock::MS;
 use crate::session::exchange::ExchangeSession;
 
@@ -26,6 +26,9 @@
 /// callers have to be notified within 8 s.
 const QUIET_CONNECTION_TIMEOUT: Nanos = 5_000 * MS;
 
+/// The number of a test that shows whether a connection still works, and nothing else.
+const LIVENESS_TEST: TestNumber = 0;
+
 /// A connection that is only used to check whether an exchange is alive. No set-up is sent on it; its input is
 /// processed like that of any other connection.
 pub struct LivenessCheck {
@@ -127,7 +130,8 @@
         if let Some(link) = self.links.get_mut(&id) {
             link.detector.record_unsolicited_input(self.now, check.connected_at);
         }
-        check.session.process_input(self.now, id, &mut self.calls).is_ok()
+        let from = MessageSource { exchange: id, conn: conn_id };
+        check.session.process_input(self.now, from, &mut self.calls).is_ok()
     }
 
     /// Replaces a connection without recent input to an exchange that is alive. Not while attempts are pending, and not
@@ -154,10 +158,13 @@
         // A process that dies resets its connections: as long as the link has one, nothing has ended. A request shows.
         match link.conn.filter(|conn_id| self.conns.get(conn_id).is_some_and(|conn| !conn.connecting)) {
             Some(conn_id) => {
-                link.session.send_test();
+                link.session.send_test(LIVENESS_TEST);
                 self.needs_flush.insert(conn_id);
             }
-            None if link.count_refusal(now) => self.calls.cut_calls_of_exchange(now, id, Nanos::MAX),
+            None if link.count_refusal(now) => {
+                let address = link.address;
+                self.calls.end_calls_of_ended_processes(now, address);
+            }
             None => {}
         }
     }
@@ -168,7 +175,7 @@
         let (conn, silent) = (link.conn, link.detector.silent_for(self.now));
         tracing::warn!(exchange = id, silent_ms = silent / MS, "exchange vanished: its calls are released");
         self.calls.counters.increment("errors exchanges vanished");
-        self.calls.cut_and_release_calls_of_exchange(self.now, id, Nanos::MAX);
+        self.calls.end_calls_of_exchange(self.now, id);
         self.stop_check(id);
         if let Some(conn) = conn {
             self.close(conn, CloseReason::ExchangeVanished);
@@ -211,7 +218,7 @@
         if accounted_for < standing {
             tracing::warn!(exchange = id, standing, in_use = group.in_use, "exchange lost its calls");
             self.calls.counters.increment("errors exchanges without their calls");
-            self.calls.cut_and_release_calls_of_exchange(self.now, id, since);
+            self.calls.end_calls_from_before(self.now, id, since);
         }
     }
 }
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -121,6 +121,10 @@
 }
 
 impl Disconnect {
+    fn is_connect_failure(self) -> bool {
+        matches!(self, Disconnect::ConnectFailed { .. })
+    }
+
     fn is_refusal(self) -> bool {
         self == Disconnect::ConnectFailed { refused: true }
     }
@@ -380,6 +384,14 @@
         let Some(conn) = self.conns.get_mut(&conn_id) else { return };
         conn.connecting = false;
         self.needs_flush.insert(conn_id);
+        let exchange = match &conn.peer {
+            Peer::Exchange(id) => Some(*id),
+            Peer::Check(check) => Some(check.exchange),
+            Peer::Caller(_) | Peer::Journal(_) => None,
+        };
+        if let Some(link) = exchange.and_then(|id| self.links.get(&id)) {
+            self.calls.exchange_connection_established(conn_id, link.address);
+        }
         match conn.peer {
             Peer::Exchange(id) => self.exchange_connected(id),
             Peer::Check(_) => self.check_connected(conn_id),
@@ -529,8 +541,7 @@
     }
 
     fn handle_disconnect(&mut self, conn_id: ConnId, disconnect: Disconnect) {
-        let connect_failed = matches!(disconnect, Disconnect::ConnectFailed { .. });
-        let refused = disconnect.is_refusal();
+        let (connect_failed, refused) = (disconnect.is_connect_failure(), disconnect.is_refusal());
         let Some(conn) = self.remove_conn(conn_id) else { return };
         match conn.peer {
             Peer::Caller(mut caller) => {
@@ -580,6 +591,7 @@
     /// Removes a connection and has its socket closed.
     fn remove_conn(&mut self, conn_id: ConnId) -> Option<Conn> {
         let conn = self.conns.remove(&conn_id)?;
+        self.calls.exchange_connection_closed(conn_id);
         self.buffer_bytes -= conn.buffer_bytes;
         self.needs_flush.remove(&conn_id);
         self.calls.deadlines.drop_owned_by(DeadlineOwner::Connection(conn_id));
@@ -677,10 +689,11 @@
                 Command::UpdateLinks => self.update_links(),
                 Command::StartLivenessChecks(id) => self.start_liveness_checks(id),
                 Command::CompareCircuits(id) => self.compare_calls_with_circuits(id, self.now),
-                Command::RemoveExchange(id) => {
-                    self.drop_link(id);
-                    self.calls.remove_exchange(id);
+                Command::SendTest(test) => self.send_process_test(test),
+                Command::CloseUnprovenConnection(conn_id) => {
+                    self.close(conn_id, CloseReason::ExchangeUnproven)
                 }
+                Command::RemoveExchange(id) => self.remove_exchange(id),
             }
             self.calls.dispatch_queued_events(self.now);
         }
--- a/dillhold/src/session/exchange.rs
+++ b/dillhold/src/session/exchange.rs
@@ -3,9 +3,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use pitchgw::interface::{Cause, ExchangeId, LoadReport, Nanos, Outcome};
+use pitchgw::interface::{Cause, LoadReport, Nanos, Outcome};
 
-use crate::call::{Calls, ExchangeEvent, ExchangeRequest};
+use crate::call::{Calls, ExchangeEvent, ExchangeRequest, MessageSource, TestNumber};
 use crate::clock::MS;
 use crate::codec::sip::{self, Message, StartLine};
 use crate::codec::{parse_attributes, parse_call_id, ParseError};
@@ -84,7 +84,7 @@
     pub fn process_input(
         &mut self,
         now: Nanos,
-        from: ExchangeId,
+        from: MessageSource,
         calls: &mut Calls,
     ) -> Result<(), ParseError> {
         let (out, unacked_releases) = (&mut self.write_buffer, &mut self.unacked_releases);
@@ -116,6 +116,7 @@
                                 unacked_unknown_releases.retain(|release| release.call_id != id);
                             }
                         }
+                        (Some(number), Some((_, b"OPTIONS"))) => calls.handle_test_response(from, number),
                         (Some(_), Some(_)) => {}
                         // A response that cannot be matched to a request is corrupt, and the bytes after it
                         // may be too.
@@ -169,11 +170,21 @@
         true
     }
 
-    /// Sends a test, which an exchange answers at once.
-    pub fn send_test(&mut self) {
+    /// Sends a test, which an exchange answers at once. The number is repeated in the response.
+    pub fn send_test(&mut self, number: TestNumber) {
         self.has_requests = true;
         let out = self.write_buffer.buffer();
-        write_request(out, "OPTIONS", "sip:ping@net", 0, 1, format_args!(""), b"");
+        write_request(out, "OPTIONS", "sip:ping@net", number, 1, format_args!(""), b"");
+    }
+
+    /// Whether releases wait for an acknowledgement of the exchange.
+    pub fn has_unacked_releases(&self) -> bool {
+        !self.unacked_releases.is_empty()
+    }
+
+    /// Takes the releases that the exchange has not acknowledged: call ids and causes.
+    pub fn take_unacked_releases(&mut self) -> BTreeMap<u64, u8> {
+        std::mem::take(&mut self.unacked_releases)
     }
 
     /// Sends the release of a call that this process does not know. It is not written when much is pending: any client can
@@ -237,7 +248,7 @@
 
 fn handle_request(
     now: Nanos,
-    from: ExchangeId,
+    from: MessageSource,
     method: &[u8],
     message: &Message<'_>,
     out: &mut Vec<u8>,
@@ -280,7 +291,7 @@
 /// attempt.
 fn handle_set_up_response(
     now: Nanos,
-    from: ExchangeId,
+    from: MessageSource,
     code: u16,
     (call_id, cseq_number): (u64, u32),
     message: &Message<'_>,
@@ -291,7 +302,7 @@
         return; // provisional responses are ignored
     }
     write_request(out, "ACK", "sip:call@net", call_id, cseq_number, format_args!(""), b"");
-    let is_repeated = calls.is_repeated_response(from, call_id, cseq_number);
+    let is_repeated = calls.is_repeated_response(from.exchange, call_id, cseq_number);
     if is_repeated && code >= 300 {
         return calls.counters.increment("taken endings twice");
     }
--- a/dillhold/tests/common/harness.rs
+++ b/dillhold/tests/common/harness.rs
@@ -177,6 +177,10 @@
     format!("BYE sip:x@net SIP/2.0\r\nCall-ID: {id:016x}\r\nCSeq: 2 BYE\r\nl: 0\r\n\r\n").into_bytes()
 }
 
+pub fn bye_response(id: u64) -> Vec<u8> {
+    format!("SIP/2.0 200 OK\r\nCall-ID: {id:016x}\r\nCSeq: 2147483647 BYE\r\nl: 0\r\n\r\n").into_bytes()
+}
+
 pub fn ok_response(id: u64) -> Vec<u8> {
     let mut out = Vec::new();
     let (line, call) = (format_args!("SIP/2.0 200 OK"), format!("{id:016x}"));
--- a/dillhold/tests/replaced_exchanges.rs
+++ b/dillhold/tests/replaced_exchanges.rs
@@ -126,3 +126,230 @@
     network.report_replacement(boot_ms);
     network.expect_only_these_end(1..=8, &[]);
 }
+
+/// The program is stopped while the old process answers and dies, so that it reads the answers after the start of the new one.
+#[test]
+fn calls_whose_answer_was_under_way_at_the_death_of_the_process_are_released() {
+    let mut network = Network::start("under-way");
+    network.establish(1..=2);
+    network.process.hold_answers();
+    (3..=6).for_each(|id| network.caller.send_set_up(id));
+    network.process.wait_for_pending(4);
+    network.program.send_signal("-STOP");
+    network.process.answer_held();
+    std::thread::sleep(Duration::from_millis(10));
+    let boot_ms = unix_now_ms();
+    network.process.kill();
+    network.start_successor();
+    std::thread::sleep(Duration::from_millis(20));
+    network.program.send_signal("-CONT");
+    for id in 3..=6 {
+        assert_eq!(network.caller.read_binary(), (ANSWER, id, 0, DESCRIPTION.to_vec()));
+    }
+    network.process.wait_for_connections(1);
+    network.report_replacement(boot_ms);
+    network.expect_only_these_end(1..=6, &[]);
+}
+
+#[test]
+fn calls_of_a_vanished_machine_are_released_although_its_connection_was_lost_before() {
+    let mut network = Network::start("vanishes-after-loss");
+    network.establish(1..=1);
+    network.process.reset_connections();
+    network.process.wait_for_connections(1);
+    network.establish(2..=20);
+    network.process.vanish();
+    let _vanished = network.start_successor();
+    std::thread::sleep(Duration::from_millis(300));
+    network.report_replacement(0);
+    network.expect_only_these_end(1..=20, &[]);
+}
+
+/// The circuits in use at a successor are those of others too, and say nothing about the calls of the old process.
+#[test]
+fn calls_of_a_vanished_machine_are_released_although_its_successor_is_busy() {
+    let mut network = Network::start_with_group("busy-successor", Some((50, 100)));
+    network.establish(1..=1);
+    network.process.reset_connections();
+    network.process.wait_for_connections(1);
+    network.establish(2..=10);
+    std::thread::sleep(Duration::from_millis(1_200));
+    network.process.vanish();
+    let _vanished = network.start_successor_with_group(Some((50, 100)));
+    network.report_replacement(unix_now_ms());
+    network.expect_only_these_end(1..=10, &[]);
+}
+
+#[test]
+fn calls_of_a_process_that_is_restarted_under_its_id_are_released() {
+    let mut network = Network::start("same-id");
+    network.establish(1..=2);
+    std::thread::sleep(Duration::from_millis(10));
+    let boot_ms = unix_now_ms();
+    std::thread::sleep(Duration::from_millis(10));
+    network.establish(3..=6);
+    network.replace_process();
+    network.establish(7..=9);
+    network.journal.report(&[network.target("s-1", "SERVING", boot_ms)]);
+    network.expect_only_these_end(1..=6, &[7, 8, 9]);
+}
+
+/// The rule of picture (d) of issue 33: calls that are known to stand at the new process live on.
+#[test]
+fn calls_of_the_new_process_live_on() {
+    for (name, boot_after_death) in [("lives-on-unknown", None), ("lives-on-late", Some(5_000))] {
+        let mut network = Network::start(name);
+        network.establish(1..=20);
+        network.replace_process();
+        network.establish(21..=50);
+        let boot_ms = boot_after_death.map_or(0, |after| unix_now_ms() + after);
+        network.report_replacement(boot_ms);
+        let standing: Vec<u64> = (21..=50).collect();
+        network.expect_only_these_end(1..=20, &standing);
+    }
+}
+
+#[test]
+fn calls_of_a_new_process_that_is_listed_later_live_on() {
+    let mut network = Network::start("listed-later");
+    network.establish(1..=5);
+    network.replace_process();
+    network.establish(6..=9);
+    network.journal.report(&[network.target("s-1", "DELETED", 0)]);
+    network.expect_only_these_end(1..=5, &[6, 7, 8, 9]);
+    network.journal.report(&[network.target("s-9", "SERVING", unix_now_ms())]);
+    network.expect_only_these_end([], &[6, 7, 8, 9]);
+    network.process.release(6);
+    network.expect_only_these_end([6], &[7, 8, 9]);
+    network.caller.send_binary(RELEASE, 7, &[(PARAM_CAUSE, &[16])]);
+    network.expect_only_these_end([], &[8, 9]);
+    assert!(network.process.was_released(7));
+}
+
+/// The successor is on the list before the process at its address has ended.
+#[test]
+fn calls_of_a_process_whose_successor_is_listed_before_its_end_are_released() {
+    let mut network = Network::start("listed-before");
+    network.establish(1..=2);
+    network.journal.report(&[network.target("s-9", "SERVING", unix_now_ms())]);
+    std::thread::sleep(Duration::from_millis(300));
+    network.establish(3..=6);
+    network.replace_process();
+    network.establish(7..=9);
+    network.journal.report(&[network.target("s-1", "DELETED", 0)]);
+    network.expect_only_these_end(1..=6, &[7, 8, 9]);
+}
+
+#[test]
+fn calls_of_two_processes_in_a_row_are_released_and_those_of_the_third_live_on() {
+    let mut network = Network::start("two-in-a-row");
+    network.establish(1..=3);
+    network.replace_process();
+    let first_boot_ms = unix_now_ms();
+    network.establish(4..=6);
+    std::thread::sleep(Duration::from_millis(300));
+    network.replace_process();
+    network.establish(7..=9);
+    network.report_replacement(first_boot_ms);
+    std::thread::sleep(Duration::from_millis(400));
+    let targets = [network.target("s-9", "DELETED", 0), network.target("s-10", "SERVING", unix_now_ms())];
+    network.journal.report(&targets);
+    network.expect_only_these_end(1..=6, &[7, 8, 9]);
+}
+
+#[test]
+fn calls_of_a_machine_that_a_complete_list_replaces_are_released() {
+    let mut network = Network::start("complete-list");
+    network.establish(1..=2);
+    std::thread::sleep(Duration::from_millis(10));
+    let boot_ms = unix_now_ms();
+    std::thread::sleep(Duration::from_millis(10));
+    network.establish(3..=4);
+    network.replace_process();
+    network.establish(5..=6);
+    network.journal.report_complete_list(&[network.target("s-9", "SERVING", boot_ms)]);
+    network.expect_only_these_end(1..=4, &[5, 6]);
+}
+
+#[test]
+fn calls_of_a_new_process_under_another_number_live_on() {
+    let mut network = Network::start("another-number");
+    network.establish(1..=2);
+    network.replace_process();
+    network.establish(3..=4);
+    let boot_ms = unix_now_ms();
+    let successor = journal_target_started(2, "s-9", network.address, "SERVING", boot_ms);
+    network.journal.report(&[network.target("s-1", "DELETED", 0), successor]);
+    network.expect_only_these_end(1..=2, &[3, 4]);
+}
+
+#[test]
+fn calls_live_on_if_the_connection_to_their_process_is_lost() {
+    let mut network = Network::start("lost-connection");
+    network.establish(1..=3);
+    network.process.reset_connections();
+    network.process.wait_for_connections(1);
+    network.expect_only_these_end([], &[1, 2, 3]);
+    network.process.release(2);
+    network.expect_only_these_end([2], &[1, 3]);
+}
+
+/// It is not known at which process a call stands whose connection was lost, so that it ends at both sides.
+#[test]
+fn calls_that_may_stand_at_either_process_end_at_both_sides() {
+    let mut network = Network::start("either");
+    network.establish(1..=2);
+    network.replace_process();
+    network.establish(3..=5);
+    network.process.reset_connections();
+    network.process.wait_for_connections(1);
+    network.establish(6..=7);
+    network.report_replacement(unix_now_ms());
+    network.expect_only_these_end(1..=5, &[6, 7]);
+    assert_eq!(network.process.standing(), [6, 7]);
+}
+
+#[test]
+fn set_ups_that_are_pending_at_the_report_stand_at_the_new_process() {
+    let mut network = Network::start("pending");
+    network.establish(1..=2);
+    network.replace_process();
+    network.establish(3..=3);
+    network.process.hold_answers();
+    (4..=6).for_each(|id| network.caller.send_set_up(id));
+    network.process.wait_for_pending(3);
+    network.report_replacement(unix_now_ms());
+    std::thread::sleep(Duration::from_millis(100));
+    // One is given up while its answer is under way.
+    network.program.send_signal("-STOP");
+    network.caller.send_binary(RELEASE, 6, &[(PARAM_CAUSE, &[16])]);
+    network.process.answer_held();
+    std::thread::sleep(Duration::from_millis(20));
+    network.program.send_signal("-CONT");
+    let mut told = BTreeSet::new();
+    while let Ok((kind, id, _, _)) = network.caller.read_binary_within(TOLD_WITHIN) {
+        assert!(told.insert((kind, id)), "{kind} {id}");
+    }
+    assert!(
+        told.is_superset(&BTreeSet::from([(RELEASE, 1), (RELEASE, 2), (ANSWER, 4), (ANSWER, 5)])),
+        "{told:?}"
+    );
+    network.expect_only_these_end([], &[3, 4, 5]);
+    assert!(!network.process.standing().contains(&6), "nothing is left standing");
+}
+
+/// The process takes no more connections, while the one that it has is in order.
+#[test]
+fn calls_of_a_process_that_refuses_connections_live_on_while_their_connection_is_open() {
+    let mut network = Network::start("refuses");
+    network.establish(1..=2);
+    network.replace_process();
+    network.establish(3..=5);
+    network.process.stop_listening();
+    let closed = std::mem::replace(&mut network.listener, bind_listener());
+    drop(closed);
+    network.report_replacement(unix_now_ms());
+    network.expect_only_these_end(1..=2, &[3, 4, 5]);
+    network.process.release(4);
+    network.expect_only_these_end([4], &[3, 5]);
+}
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -224,6 +224,17 @@
                     self.send(connection_id, &output);
                     self.handle_controller_release(controller, id);
                 }
+                StartLine::Request(b"OPTIONS") => {
+                    write_sip(
+                        &mut output,
+                        format_args!("SIP/2.0 200 OK"),
+                        id,
+                        (sequence, "OPTIONS"),
+                        "",
+                        b"",
+                    );
+                    self.send(connection_id, &output);
+                }
                 StartLine::Response(_) => {
                     self.machines[machine].unacknowledged_releases.remove(&id);
                 }
