Take a machine that is listed at another address for another one there

Callers saw: calls of a process that had died were not released when the list had the same machine at another address. Cause: the machine kept its id, its link was dropped at once, and nothing said that the process at the address before had ended: its calls stood at a link to somebody else. Change: Directory lists a machine at a new address under a new id, and the one at the address before as gone. Its calls are reviewed like those of any machine that is gone; its link lasts as long as calls stand there. A machine keeps its address.

--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -131,6 +131,12 @@
     Deleted,
 }
 
+impl HostState {
+    fn is_deleted(self) -> bool {
+        self == HostState::Deleted
+    }
+}
+
 /// Parses the configuration. The error is a single line.
 pub fn read_config(text: &str) -> Result<Config, String> {
     serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))
@@ -194,10 +200,18 @@
 pub struct DirectoryUpdate {
     /// List events for the decision module, in order.
     pub lists: Vec<(ListUpdate, Vec<Entry>)>,
-    /// Machines whose process has ended: they left the list or were restarted.
+    /// Machines whose process has ended: they left the list, were restarted or moved.
     pub ended_machines: Vec<ExchangeId>,
 }
 
+impl DirectoryUpdate {
+    fn machine_ended(&mut self, id: ExchangeId) {
+        if !self.ended_machines.contains(&id) {
+            self.ended_machines.push(id);
+        }
+    }
+}
+
 fn parse_zones(settings: &Value) -> Vec<String> {
     let zones = settings["dcs"].as_array().into_iter().flatten();
     zones.filter_map(|z| z.as_str().map(String::from)).collect()
@@ -295,16 +309,46 @@
             for (id, machine) in &mut self.machines {
                 if machine.state != ExchangeState::Gone && !is_listed(&machine.uid) {
                     machine.state = ExchangeState::Gone;
-                    update.ended_machines.push(*id);
+                    update.machine_ended(*id);
                 }
             }
         }
-        let entries = hosts.targets.into_iter().map(|host| self.apply_host(host, update)).collect();
+        let mut entries = Vec::new();
+        for host in hosts.targets {
+            entries.extend(self.remove_moved(&host, update));
+            entries.push(self.apply_host(host, update));
+        }
         update.lists.push((kind, entries));
     }
 
+    /// The newest machine with this uid. An earlier one is at another address, and gone.
+    fn newest_with_uid(&self, uid: &str) -> Option<(ExchangeId, &Machine)> {
+        self.machines.iter().rev().find(|(_, m)| m.uid == uid).map(|(id, m)| (*id, m))
+    }
+
+    /// A machine that is listed at another address is another one there: the one at the address before is gone.
+    fn remove_moved(&mut self, host: &Host, update: &mut DirectoryUpdate) -> Option<Entry> {
+        let (id, machine) = self.newest_with_uid(&host.uid)?;
+        if machine.state == ExchangeState::Gone || machine.address == host.endpoint || host.state.is_deleted()
+        {
+            return None;
+        }
+        let (number, since, zone) = (machine.number, machine.started_at, self.zone_index(&host.az));
+        self.machines.get_mut(&id)?.state = ExchangeState::Gone;
+        update.machine_ended(id);
+        Some(Entry { exchange: id, number, zone, since, standing: ExchangeState::Gone })
+    }
+
+    fn zone_index(&self, name: &str) -> u32 {
+        self.zones.iter().position(|zone| zone == name).unwrap_or(self.zones.len()) as u32
+    }
+
     fn apply_host(&mut self, host: Host, update: &mut DirectoryUpdate) -> Entry {
-        let known_id = self.machines.iter().find(|(_, m)| m.uid == host.uid).map(|(id, _)| *id);
+        let known = self.newest_with_uid(&host.uid);
+        let known = known.filter(|(_, m)| m.address == host.endpoint || host.state.is_deleted());
+        let known_id = known.map(|(id, _)| id);
+        // A machine that is gone keeps the address at which its calls stand.
+        let address = known.map_or(host.endpoint, |(_, machine)| machine.address);
         let id = known_id.unwrap_or(self.next_id);
         self.next_id = self.next_id.max(id + 1);
         let started_at = Some(host.boot_ms * MS).filter(|t| *t > 0);
@@ -316,14 +360,12 @@
         if let Some(previous) = self.machines.get(&id) {
             let has_left = state == ExchangeState::Gone && previous.state != ExchangeState::Gone;
             if has_left || previous.started_at != started_at {
-                update.ended_machines.push(id);
+                update.machine_ended(id);
             }
         }
-        let number = host.pod_group;
-        let zone = self.zones.iter().position(|z| *z == host.az).unwrap_or(self.zones.len()) as u32;
+        let (number, zone) = (host.pod_group, self.zone_index(&host.az));
         if known_id.is_some() || state != ExchangeState::Gone {
-            let (address, uid) = (host.endpoint, host.uid);
-            self.machines.insert(id, Machine { address, number, state, started_at, uid });
+            self.machines.insert(id, Machine { address, number, state, started_at, uid: host.uid });
         }
         Entry { exchange: id, number, zone, since: started_at, standing: state }
     }
@@ -374,6 +416,29 @@
         assert_eq!(directory.machines().map(|(id, _)| id).collect::<Vec<_>>(), vec![1]);
     }
 
+    #[test]
+    fn machine_at_another_address_is_another_one_and_the_one_before_is_gone() {
+        let mut directory = directory();
+        let target = |port: u16, state: &str| {
+            let targets = [json!({"uid": "s-1", "endpoint": format!("10.1.0.9:{port}"), "pod_group": 2,
+                                  "state": state})];
+            json!({"all": false, "targets": targets})
+        };
+        let mut apply = |pos: u64, hosts: Value| {
+            let answer = json!({"pos": pos, "entries": [{"pos": pos, "hosts": hosts}]});
+            directory.apply(serde_json::from_value(answer).unwrap()).unwrap()
+        };
+        let update = apply(2, target(7, "SERVING"));
+        let standings: Vec<_> = update.lists[0].1.iter().map(|e| (e.exchange, e.standing)).collect();
+        assert_eq!(standings, [(0, ExchangeState::Gone), (2, ExchangeState::Up)]);
+        assert_eq!(update.ended_machines, [0]);
+        assert!(apply(3, target(7, "DRAINING")).ended_machines.is_empty(), "it has not moved again");
+        // It leaves the list at the address that it had.
+        assert_eq!(apply(4, target(2905, "DELETED")).ended_machines, [2]);
+        assert_eq!(directory.machine(2).map(|m| m.address.port()), Some(7));
+        assert!(directory.is_gone(0) && directory.is_gone(2));
+    }
+
     #[test]
     fn missing_events_reset_the_position_and_complete_list_ends_unlisted_machines() {
         let mut directory = directory();
--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -78,19 +78,15 @@
 }
 
 impl Engine {
-    /// Creates links for the listed exchanges, and replaces those whose address has changed.
+    /// Creates links for the listed exchanges. A machine keeps its address.
     pub(super) fn update_links(&mut self) {
         let home_exchange = self.calls.settings().module.home_exchange;
         let listed = self.calls.directory.machines().filter(|(_, m)| Some(m.number) != home_exchange);
         let listed: Vec<_> = listed.map(|(id, m)| (id, m.address, m.state)).collect();
         for (id, address, state) in listed {
-            let link = self.links.get(&id);
             if state == ExchangeState::Gone {
                 continue;
             }
-            if link.is_some_and(|l| l.address != address) {
-                self.drop_link(id);
-            }
             if let Entry::Vacant(entry) = self.links.entry(id) {
                 let session = ExchangeSession::default();
                 entry.insert(ExchangeLink {
--- a/dillhold/tests/replaced_exchanges.rs
+++ b/dillhold/tests/replaced_exchanges.rs
@@ -353,3 +353,17 @@
     network.process.release(4);
     network.expect_only_these_end([4], &[3, 5]);
 }
+
+/// A machine that moves to another address is another process there.
+#[test]
+fn calls_at_an_address_that_a_machine_has_left_are_released_if_their_process_has_ended() {
+    let mut network = Network::start("moves");
+    network.establish(1..=3);
+    network.process.kill();
+    let moved = bind_listener();
+    let new_process = ExchangeProcess::start(&moved);
+    let target = journal_target_started(1, "s-1", moved.local_addr().unwrap(), "SERVING", 0);
+    network.journal.report(&[target]);
+    new_process.wait_for_connections(1);
+    assert_eq!(network.released_within(TOLD_WITHIN), (1..=3).collect());
+}
