Review the calls at an address when another machine is listed there

Callers saw: calls of a dead process were left standing when the list had its successor at the address and never told that the old machine was gone. Cause: only the machine's own entry counted as a report of its end. Change: Directory reports the machines whose address a new one is listed at among those whose process has ended; they stay listed. Measured: calls_of_a_process_whose_address_is_taken_over_are_released failed on the commit before (0 of 3 released), passes now.

--- a/dillhold/src/directory.rs
+++ b/dillhold/src/directory.rs
@@ -200,7 +200,7 @@
 pub struct DirectoryUpdate {
     /// List events for the decision module, in order.
     pub lists: Vec<(ListUpdate, Vec<Entry>)>,
-    /// Machines whose process has ended: they left the list, were restarted or moved.
+    /// Machines whose process has ended: they left the list, were restarted, moved, or another one is listed at their address.
     pub ended_machines: Vec<ExchangeId>,
 }
 
@@ -362,6 +362,11 @@
             if has_left || previous.started_at != started_at {
                 update.machine_ended(id);
             }
+        } else if state != ExchangeState::Gone {
+            // A new machine has the address of one that has gone, whatever else is listed.
+            let replaced =
+                self.machines.iter().filter(|(_, m)| m.address == address && m.state != ExchangeState::Gone);
+            replaced.for_each(|(replaced, _)| update.machine_ended(*replaced));
         }
         let (number, zone) = (host.pod_group, self.zone_index(&host.az));
         if known_id.is_some() || state != ExchangeState::Gone {
--- a/dillhold/tests/replaced_exchanges.rs
+++ b/dillhold/tests/replaced_exchanges.rs
@@ -367,3 +367,14 @@
     new_process.wait_for_connections(1);
     assert_eq!(network.released_within(TOLD_WITHIN), (1..=3).collect());
 }
+
+/// The list has the new machine at the address, and never tells that the old one has gone.
+#[test]
+fn calls_of_a_process_whose_address_is_taken_over_are_released() {
+    let mut network = Network::start("taken-over");
+    network.establish(1..=3);
+    network.replace_process();
+    network.establish(4..=5);
+    network.journal.report(&[network.target("s-9", "SERVING", unix_now_ms())]);
+    network.expect_only_these_end(1..=3, &[4, 5]);
+}
