Test the processes at an address once more 2 s after a report of an end

Callers saw: calls of a process that ended half a second after the list had reported it, or whose machine vanished then, were left standing: no other report follows. Cause: a process that passes a test right after the report was taken to be the one that replaced the reported one. The list may be ahead of the process, as a successor boots before the one at its address has ended. Change: the processes at the address are tested and reviewed again after MAX_REPORT_LEAD (2 s), with a second for the answer, as what has ended since ended less than 2 s ago. A process that ends later than that after its report is not found (open risk).

--- a/dillhold/src/call/ended_processes.rs
+++ b/dillhold/src/call/ended_processes.rs
@@ -17,6 +17,11 @@
 /// How long a process may take to answer a test after a report. Releases from it are still accepted meanwhile. The
 /// journal reports up to 7 s late, and the calls have to be released towards their callers within 8 s of their end.
 const TEST_TIMEOUT: Nanos = 250 * MS;
+/// How much earlier than the end of the process its report may come.
+const MAX_REPORT_LEAD: Nanos = 2_000 * MS;
+/// How long a process may take to answer the second test: its calls, if they have ended, did so less than
+/// [`MAX_REPORT_LEAD`] ago.
+const RETEST_TIMEOUT: Nanos = 1_000 * MS;
 /// Time between the end of a machine's calls and the removal of its link, in which their releases are written.
 const MACHINE_REMOVAL_DELAY: Nanos = 50 * MS;
 /// When a machine whose link is still needed is looked at again.
@@ -48,7 +53,16 @@
         let (standing, successor) = (self.standing_calls_at(exchange), self.directory.successor(exchange));
         let successor = successor.map(|(id, _)| id);
         tracing::info!(exchange, %address, ?state, ?successor, standing, "end of a process reported");
-        let due_at = now + TEST_TIMEOUT;
+        self.test_processes(now, address, TEST_TIMEOUT);
+        self.deadlines.add(now + MAX_REPORT_LEAD, Deadline::RetestProcesses(address));
+    }
+
+    pub(super) fn retest_processes(&mut self, now: Nanos, address: SocketAddr) {
+        self.test_processes(now, address, RETEST_TIMEOUT);
+    }
+
+    fn test_processes(&mut self, now: Nanos, address: SocketAddr, timeout: Nanos) {
+        let due_at = now + timeout;
         let tests = self.processes.question(address, due_at);
         tracing::debug!(%address, ?tests, "processes tested");
         self.commands.extend(tests.into_iter().map(Command::SendTest));
--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -206,6 +206,8 @@
     AttemptTimeout(u64, CallId, u32),
     /// Fail a call that still awaits its final answer; holds the call's id and handle.
     FinalAnswer(u64, CallId),
+    /// Test the processes at an address once more, as a report of their end may have been early.
+    RetestProcesses(SocketAddr),
     /// End the calls at an address whose process may have ended: the time of the tests is over.
     ReviewProcesses(SocketAddr),
     /// Remove a machine that has left the list.
@@ -239,7 +241,8 @@
             | Deadline::AttemptTimeout(_, handle, _)
             | Deadline::FinalAnswer(_, handle) => Some(DeadlineOwner::SetUp(*handle)),
             Deadline::Engine(deadline) => deadline.connection().map(DeadlineOwner::Connection),
-            Deadline::ReviewProcesses(_)
+            Deadline::RetestProcesses(_)
+            | Deadline::ReviewProcesses(_)
             | Deadline::MachineRemoval(_)
             | Deadline::IntervalEnd
             | Deadline::ForgetEndedCalls
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -462,6 +462,7 @@
                     self.fail_set_up(now, id);
                 }
             }
+            Deadline::RetestProcesses(address) => self.retest_processes(now, address),
             Deadline::ReviewProcesses(address) => self.review_processes(now, address),
             Deadline::MachineRemoval(exchange) => self.commands.push_back(Command::RemoveExchange(exchange)),
             Deadline::IntervalEnd => self.close_intervals(now, false),
--- a/dillhold/tests/replaced_exchanges.rs
+++ b/dillhold/tests/replaced_exchanges.rs
@@ -378,3 +378,22 @@
     network.journal.report(&[network.target("s-9", "SERVING", unix_now_ms())]);
     network.expect_only_these_end(1..=3, &[4, 5]);
 }
+
+/// The list is ahead of the process: it reports the replacement, and the old process ends half a second later.
+#[test]
+fn calls_of_a_process_that_ends_after_the_report_are_released() {
+    for (name, vanishes) in [("early-news", false), ("early-news-vanish", true)] {
+        let mut network = Network::start(name);
+        network.establish(1..=4);
+        network.report_replacement(unix_now_ms());
+        std::thread::sleep(Duration::from_millis(500));
+        network.establish(5..=6);
+        if vanishes {
+            network.process.vanish();
+        } else {
+            network.process.kill();
+        }
+        let _old = network.start_successor();
+        assert_eq!(network.released_within(Duration::from_millis(7_500)), (1..=6).collect(), "{name}");
+    }
+}
