Soak: take over the address of processes that end without notice

The auditor also expects the release of a call whose answer reached its caller after the call had ended at its node: it was not watched before; a new attempt clears that.

--- a/rehearsal/src/audit.rs
+++ b/rehearsal/src/audit.rs
@@ -660,6 +660,12 @@
                 }
                 record.stands |= !record.final_answer_given && !record.given_up;
                 record.final_answer_given = true;
+                // The answer was under way when the call ended at its node.
+                if let Some(ended_at) = record.ended_at.filter(|_| record.stands && !record.released) {
+                    let by = ended_at + RELEASE_LIMIT_WITHOUT_BYE;
+                    record.release_by = Some(record.release_by.map_or(by, |known| known.min(by)));
+                    self.deadlines.insert((by, key));
+                }
             }
             // A successor passes on the release of a call that it never saw: it cannot know that its predecessor had
             // already failed that call.
@@ -762,6 +768,8 @@
             ));
         }
         record.attempt_pending = true;
+        // What has ended is an earlier attempt.
+        (record.ended_at, record.bye_at) = (None, None);
         for (rule, what) in broken {
             self.record_breach(now, rule, key.controller, Some(key.id), what.into());
         }
--- a/rehearsal/src/script.rs
+++ b/rehearsal/src/script.rs
@@ -246,6 +246,8 @@
     Slow,
     /// The node stops without notice and its connections fall silent; when the event ends a new one replaces it, cold.
     Vanish,
+    /// The process ends without notice `dies_after` seconds later, and another one takes over its address after `down` seconds.
+    Takeover,
     /// Trunk groups between the affected regions and the others keep the share `kept` of their circuits; calls on the
     /// lost circuits are cut.
     LoseCircuits,
@@ -291,6 +293,7 @@
             EventKind::Pauses => "pauses",
             EventKind::Slow => "slow",
             EventKind::Vanish => "vanish",
+            EventKind::Takeover => "takeover",
             EventKind::LoseCircuits => "lose-circuits",
             EventKind::SilentConnections => "silent-connections",
             EventKind::ResetConnections => "reset-connections",
@@ -316,6 +319,19 @@
             EventKind::RestartCold => (&[], &["down", "stagger"]),
             EventKind::Replace => (&[], &["drain", "down", "same_address", "stagger"]),
             EventKind::Drain => (&["for"], &["drain"]),
+            EventKind::Takeover => (
+                &["listed_after"],
+                &[
+                    "dies_after",
+                    "down",
+                    "boots_after",
+                    "gone_after",
+                    "under_way",
+                    "others",
+                    "vanishes",
+                    "same_id",
+                ],
+            ),
             EventKind::Hang
             | EventKind::Vanish
             | EventKind::JournalBroken
@@ -369,6 +385,22 @@
     pub down: Option<Seconds>,
     /// `replace`: whether the new node has the address of the old one.
     pub same_address: Option<bool>,
+    /// `takeover`: time in seconds from the start of the event to the end of the process.
+    pub dies_after: Option<Seconds>,
+    /// `takeover`: the same to the start that the journal reports of the new process; without it, the journal knows none.
+    pub boots_after: Option<Seconds>,
+    /// `takeover`: the same to when the journal learns that the old machine is gone; without it, it never does.
+    pub gone_after: Option<Seconds>,
+    /// `takeover`: the same to when the journal learns of the new process.
+    pub listed_after: Option<Seconds>,
+    /// `takeover`: how long what the process sends in its last moments is under way, in seconds.
+    pub under_way: Option<Seconds>,
+    /// `takeover`: circuits that others use at the new process, of each trunk group.
+    pub others: Option<Amount>,
+    /// `takeover`: whether the connections of the process fall silent in place of being reset.
+    pub vanishes: Option<bool>,
+    /// `takeover`: whether the new process has the id of the old one.
+    pub same_id: Option<bool>,
     /// Time in seconds from the start of the event at one affected node to that at the next.
     pub stagger: Option<Seconds>,
     /// `demand`: factor by which more calls are offered.
@@ -381,7 +413,7 @@
         self.at.0 + self.lasts.map_or(0.0, |s| s.0)
     }
 
-    fn given_keys(&self) -> [(&'static str, bool); 10] {
+    fn given_keys(&self) -> [(&'static str, bool); 18] {
         [
             ("for", self.lasts.is_some()),
             ("factor", self.factor.is_some()),
@@ -393,6 +425,14 @@
             ("same_address", self.same_address.is_some()),
             ("stagger", self.stagger.is_some()),
             ("times", self.times.is_some()),
+            ("dies_after", self.dies_after.is_some()),
+            ("boots_after", self.boots_after.is_some()),
+            ("gone_after", self.gone_after.is_some()),
+            ("listed_after", self.listed_after.is_some()),
+            ("under_way", self.under_way.is_some()),
+            ("others", self.others.is_some()),
+            ("vanishes", self.vanishes.is_some()),
+            ("same_id", self.same_id.is_some()),
         ]
     }
 }
--- a/rehearsal/src/world/callers.rs
+++ b/rehearsal/src/world/callers.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1};
 
+use super::nodes::LegState;
 use super::processor::JobKind;
 use super::{
     seconds_to_nanos, Action, Endpoint, Event, SimConnectionId, World, CAUSE_NORMAL_CLEARING, MS,
@@ -436,8 +437,13 @@
         if matches!(call.owner, CallOwner::Caller(_)) {
             self.statistics.record_set_up_time(set_up_time);
         }
-        match call.owner {
+        let owner = call.owner;
+        let leg = self.latest_leg.get(&(controller, id)).and_then(|leg_id| self.legs.get(leg_id));
+        let has_ended = leg.is_none_or(|leg| leg.state == LegState::Ended);
+        match owner {
             CallOwner::Transit(leg_id) => self.transit_call_answered(leg_id, description),
+            // The answer was under way when the call ended: the caller waits until it is told.
+            CallOwner::Caller(intent_id) if has_ended => self.handle_cut_call(intent_id),
             CallOwner::Caller(intent_id) => {
                 if let Some(intent) = self.intents.get_mut(&intent_id) {
                     intent.stands_since = Some(self.now);
--- a/rehearsal/src/world/incidents.rs
+++ b/rehearsal/src/world/incidents.rs
@@ -131,6 +131,7 @@
                     self.publish_machine_state(machine, "DELETED", delay_range);
                 }
             }
+            (EventKind::Takeover, _) => self.begin_takeover(node, &event),
             (EventKind::Hang, _) => {
                 self.suspend_current_job(node);
                 let hang_events = &mut self.processors[node].hang_events;
--- a/rehearsal/src/world/mod.rs
+++ b/rehearsal/src/world/mod.rs
@@ -14,6 +14,7 @@
 mod nodes;
 mod processor;
 mod settings;
+mod takeovers;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -31,6 +32,7 @@
 use network::Network;
 use nodes::{Leg, Machine};
 use processor::{Job, Processor};
+use takeovers::{Takeover, TakeoverStep};
 
 /// One second.
 pub const SEC: Nanos = 1_000_000_000;
@@ -263,6 +265,15 @@
         connection_id: SimConnectionId,
         bytes: Vec<u8>,
     },
+    /// Delivers bytes that were under way.
+    DelayedBytes {
+        connection_id: SimConnectionId,
+        bytes: Vec<u8>,
+    },
+    Takeover {
+        takeover: Takeover,
+        step: TakeoverStep,
+    },
     BadCallerConnects {
         event_index: usize,
         controller: usize,
@@ -514,6 +525,8 @@
                 self.finish_slow_answer(controller, number)
             }
             Event::SendBytes { connection_id, bytes } => self.send(connection_id, &bytes),
+            Event::DelayedBytes { connection_id, bytes } => self.deliver(connection_id, &bytes),
+            Event::Takeover { takeover, step } => self.run_takeover(takeover, step),
             Event::ReadyDeadline { controller, started_at: started } => self.check_ready(controller, started),
             Event::BadCallerConnects { event_index: event, controller } => {
                 self.connect_bad_caller(event, controller)
@@ -638,11 +651,23 @@
     }
 
     fn send(&mut self, connection_id: SimConnectionId, bytes: &[u8]) {
-        let Some(connection) =
-            self.connections.get_mut(&connection_id).filter(|connection| !connection.silenced)
+        let Some(connection) = self.connections.get(&connection_id).filter(|connection| !connection.silenced)
         else {
             return;
         };
+        let delay = match connection.endpoint {
+            Endpoint::Machine(machine) => self.machines[machine].send_delay,
+            Endpoint::Callers | Endpoint::BadCaller | Endpoint::Journal => 0,
+        };
+        if delay > 0 {
+            return self.schedule_in(delay, Event::DelayedBytes { connection_id, bytes: bytes.to_vec() });
+        }
+        self.deliver(connection_id, bytes);
+    }
+
+    /// Hands bytes to the driver, also those that were sent before the connection fell silent.
+    fn deliver(&mut self, connection_id: SimConnectionId, bytes: &[u8]) {
+        let Some(connection) = self.connections.get_mut(&connection_id) else { return };
         if !connection.established {
             return connection.unsent.extend(bytes);
         }
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -32,6 +32,10 @@
     pub connect_outcome: ConnectOutcome,
     /// Index of the machine whose address it uses: its own, or that of the machine it replaced.
     pub address_owner: usize,
+    /// Whether connections to the address reach it, or reached it until another machine took over.
+    pub holds_address: bool,
+    /// How long what it sends is under way, beside the delay of the network.
+    pub send_delay: Nanos,
     /// Open connections, by controller.
     connections: BTreeMap<usize, Vec<SimConnectionId>>,
     /// Releases that could not be sent, by controller: call id and Q.850 cause.
@@ -52,6 +56,8 @@
             started_at,
             connect_outcome: ConnectOutcome::Accepted,
             address_owner,
+            holds_address: true,
+            send_delay: 0,
             connections: BTreeMap::new(),
             unsent_releases: BTreeMap::new(),
             unacknowledged_releases: BTreeMap::new(),
@@ -59,6 +65,13 @@
     }
 }
 
+impl Machine {
+    /// The open connections of all controllers.
+    pub fn all_connections(&self) -> impl Iterator<Item = SimConnectionId> + '_ {
+        self.connections.values().flatten().copied()
+    }
+}
+
 /// State of a leg.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LegState {
@@ -123,7 +136,8 @@
 
     /// Returns the machine that currently uses an address.
     pub(super) fn machine_at_address(&self, address_owner: usize) -> usize {
-        let latest_machine = self.machines.iter().rposition(|m| m.address_owner == address_owner);
+        let latest_machine =
+            self.machines.iter().rposition(|m| m.address_owner == address_owner && m.holds_address);
         latest_machine.unwrap_or(address_owner)
     }
 
@@ -736,8 +750,7 @@
                 _ => {}
             }
         }
-        let connections: Vec<SimConnectionId> =
-            self.machines[machine].connections.values().flatten().copied().collect();
+        let connections: Vec<SimConnectionId> = self.machines[machine].all_connections().collect();
         for connection_id in connections {
             if connect_outcome == ConnectOutcome::TimesOut {
                 if let Some(connection) = self.connections.get_mut(&connection_id) {
@@ -751,6 +764,6 @@
 
     /// Returns the controllers' open connections to a node.
     pub(super) fn connections_to(&self, node: usize) -> Vec<SimConnectionId> {
-        self.machines[self.machine_of_node[node]].connections.values().flatten().copied().collect()
+        self.machines[self.machine_of_node[node]].all_connections().collect()
     }
 }
