--- a/dillhold/src/call/ended_processes.rs
+++ b/dillhold/src/call/ended_processes.rs
@@ -130,6 +130,18 @@
         self.end_at_both_sides(now, ended);
     }
 
+    /// Whether a call stands that was answered on a connection.
+    pub fn has_calls_answered_on(&self, conn: ExchangeConnId) -> bool {
+        self.calls_by_id.values().any(|call| call.answered_attempt.is_some() && call.answered_on == conn)
+    }
+
+    /// Ends the calls that were answered on a connection which has ended, as nothing tells whether their process lives on.
+    pub fn end_calls_answered_on(&mut self, now: Nanos, conn: ExchangeConnId) {
+        let calls = self.standing_calls(|call, _| call.answered_on == conn);
+        tracing::warn!(conn, calls = calls.len(), "calls of a lost connection end: the journal is not heard");
+        self.end_at_both_sides(now, calls);
+    }
+
     /// The machine that messages from a link are about: the one on the list, if the link is that of a machine which is gone
     /// and the connection reaches another process at its address.
     pub(super) fn listed_exchange(&self, from: MessageSource) -> ExchangeId {
--- a/dillhold/src/call/messages.rs
+++ b/dillhold/src/call/messages.rs
@@ -271,6 +271,8 @@
         /// When it became reachable again; calls set up before this time may have been lost.
         since: Nanos,
     },
+    /// Review the calls that were answered on this connection, which has ended.
+    ReviewLostConnection(u64),
     /// Poll the journal service.
     PollJournal,
     /// Close this connection to the journal service if its answer is overdue.
@@ -302,6 +304,7 @@
             EngineDeadline::Reconnect(_)
             | EngineDeadline::LivenessCheck(_)
             | EngineDeadline::CompareCircuits { .. }
+            | EngineDeadline::ReviewLostConnection(_)
             | EngineDeadline::PollJournal
             | EngineDeadline::DeliverReleases
             | EngineDeadline::StopListening
--- a/dillhold/src/engine/discovery.rs
+++ b/dillhold/src/engine/discovery.rs
@@ -102,7 +102,7 @@
     }
 
     /// How long after a request its answer times out.
-    fn answer_timeout(&self) -> Nanos {
+    pub fn answer_timeout(&self) -> Nanos {
         if self.response_time <= ANSWER_TIMEOUT_MARGIN {
             return REQUESTED_WAIT + ANSWER_TIMEOUT_MARGIN;
         }
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Whether no answer has come since a request failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Whether the answer has timed out.
     pub fn is_overdue(&self, now: Nanos) -> bool {
         self.outstanding().is_some_and(|(_, times_out_at)| now >= times_out_at)
--- a/dillhold/src/engine/failure_detector.rs
+++ b/dillhold/src/engine/failure_detector.rs
@@ -18,7 +18,7 @@
 /// Silence after which an exchange is dead. A caller has to be notified within 8 s of the end of its call, which may
 /// follow directly on the last sign of life; the remaining time is for a release that waits for a connection and for
 /// delays of this process.
-const DEAD_AFTER: Nanos = 7_250 * MS;
+pub const DEAD_AFTER: Nanos = 7_250 * MS;
 /// Input within this time on a new connection, before anything was requested there, is a greeting.
 const GREETING_WINDOW: Nanos = 500 * MS;
 
--- a/dillhold/src/engine/journal.rs
+++ b/dillhold/src/engine/journal.rs
@@ -19,6 +19,8 @@
     poll: JournalPoll,
     conn: Option<ConnId>,
     late_request: Option<LateRequest>,
+    /// When the last answer came.
+    heard_at: Nanos,
 }
 
 /// A request whose answer has timed out and may still come.
@@ -31,7 +33,12 @@
 impl JournalClient {
     /// Creates a client that has sent no request yet.
     pub fn new(address: SocketAddr) -> JournalClient {
-        JournalClient { poll: JournalPoll::new(address), conn: None, late_request: None }
+        JournalClient { poll: JournalPoll::new(address), conn: None, late_request: None, heard_at: 0 }
+    }
+
+    /// Whether requests fail and no answer has come for longer than one takes, so that updates may be missing.
+    pub fn is_out_of_contact(&self, now: Nanos) -> bool {
+        self.poll.is_failing() && now >= self.heard_at + self.poll.answer_timeout()
     }
 }
 
@@ -64,6 +71,7 @@
         keep_connection: bool,
     ) {
         self.calls.counters.increment("taken journal answers");
+        self.journal_client.heard_at = self.now;
         let has_events = !answer.entries.is_empty();
         let applied = self.calls.directory.apply(answer);
         let is_complete = applied.is_ok();
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -26,6 +26,7 @@
 mod journal;
 mod leave;
 mod liveness;
+mod lost_connections;
 mod release_delivery;
 mod shutdown;
 
@@ -582,6 +583,7 @@
                     true => "errors exchange connections unmade",
                     false => "errors exchange connections lost",
                 });
+                self.connection_with_calls_ended(id, conn_id, disconnect);
                 self.exchange_disconnected(id, disconnect);
             }
             Peer::Check(check) => self.check_disconnected(check.exchange, refused),
@@ -663,6 +665,7 @@
             EngineDeadline::CompareCircuits { exchange, since } => {
                 self.compare_calls_with_circuits(exchange, since)
             }
+            EngineDeadline::ReviewLostConnection(conn_id) => self.review_lost_connection(conn_id),
             EngineDeadline::PollJournal => self.poll_journal(),
             EngineDeadline::JournalTimeout(conn_id) => self.handle_journal_timeout(conn_id),
             EngineDeadline::CallerCheck(conn_id) => self.check_caller(conn_id),
--- a/dillhold/tests/engine_exchanges.rs
+++ b/dillhold/tests/engine_exchanges.rs
@@ -378,6 +378,34 @@
     }
 }
 
+/// Guards against calls of a dead process that stand until the journal is heard again: its successor at the address has
+/// calls of others, so that the circuits in use tell nothing. A process that lives on may lose connections.
+#[test]
+fn calls_of_a_lost_connection_end_if_the_journal_is_not_heard_and_stand_if_it_is() {
+    for journal_answers in [false, true] {
+        let mut harness = EngineHarness::new();
+        let (journal, caller) = (harness.establish(9), harness.accept_caller());
+        let exchange = harness.establish(1);
+        harness.receive(exchange, &group_report(9));
+        establish_call(&mut harness, caller, exchange, 7);
+        harness.advance(1_100 * MS);
+        harness.run_turn(|e| e.connection_lost(exchange));
+        harness.advance(10 * MS);
+        let again = harness.establish(1);
+        for _ in 0..8 {
+            harness.receive(again, &group_report(0));
+            harness.advance(1_000 * MS);
+            if journal_answers && !harness.take_written(journal).is_empty() {
+                harness.receive(journal, &journal_answer(""));
+            }
+        }
+        let cut = take_notifications(&mut harness, caller);
+        let to_exchange = String::from_utf8_lossy(&harness.take_written(again)).into_owned();
+        assert_eq!(cut.is_empty(), journal_answers, "{cut:?}");
+        assert_eq!(to_exchange.contains("BYE "), !journal_answers, "{to_exchange}");
+    }
+}
+
 /// Guards against two attempts out at once: an exchange that fails set-ups is tried again at once, and the second copy of
 /// its answer, some milliseconds later, was taken for the end of the next attempt.
 #[test]
