Compare calls with the circuits that were reported after them only

Cause: the review of the processes at an address compares the calls there with the first report of circuits in use since the connection, and took all calls sent up to a second before the review for calls included in it. Change: the comparison counts the calls that were sent a second before the report was received.

--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -192,6 +192,12 @@
         }
     }
 
+    /// Compares the calls at the address of an exchange with the circuits that it has reported, or will report.
+    pub(super) fn compare_earlier_calls(&mut self, id: ExchangeId) {
+        let since = self.calls.group_state(id).map_or(self.now, |group| group.received_at);
+        self.compare_calls_with_circuits(id, since);
+    }
+
     /// If the calls that stood before an exchange became reachable again need more circuits than its first report shows
     /// in use, the exchange has lost them, and they end.
     pub(super) fn compare_calls_with_circuits(&mut self, id: ExchangeId, since: Nanos) {
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -691,7 +691,7 @@
                 Command::WithdrawSetUps(id) => self.withdraw_set_ups(id),
                 Command::UpdateLinks => self.update_links(),
                 Command::StartLivenessChecks(id) => self.start_liveness_checks(id),
-                Command::CompareCircuits(id) => self.compare_calls_with_circuits(id, self.now),
+                Command::CompareCircuits(id) => self.compare_earlier_calls(id),
                 Command::SendTest(test) => self.send_process_test(test),
                 Command::CloseUnprovenConnection(conn_id) => {
                     self.close(conn_id, CloseReason::ExchangeUnproven)
