Soak: count the calls that end although they stand at their node

Cause: a soak judged only that callers are told of calls that have ended, not what a controller ends in doubt. Change: the auditor counts calls that a controller released while they stood at their node; soak prints and reports the number. No rule is broken by it.

--- a/ctl/src/soak.rs
+++ b/ctl/src/soak.rs
@@ -77,6 +77,7 @@
         "                set-up {} s after a drain, answer {} s after a deadline",
         worst.set_up_after_drain_s, worst.answer_after_deadline_s
     );
+    println!("live calls cut  {}", report.live_calls_cut);
     for breach in &report.breaches {
         let text = |key: &str| breach[key].as_str().unwrap_or("-").to_string();
         let (at, seed) = (&breach["at"], &breach["seed"]);
--- a/rehearsal/src/audit.rs
+++ b/rehearsal/src/audit.rs
@@ -337,6 +337,7 @@
     traced_calls: BTreeSet<u64>,
     trace_lines: Vec<String>,
     worst: WorstDelays,
+    live_calls_cut: u64,
 }
 
 impl Auditor {
@@ -355,9 +356,16 @@
             traced_calls: BTreeSet::new(),
             trace_lines: Vec::new(),
             worst: WorstDelays::default(),
+            live_calls_cut: 0,
         }
     }
 
+    /// How many calls a controller released towards their caller although they stood at their node. No rule is broken by
+    /// that: it may not be known whether they do.
+    pub fn live_calls_cut(&self) -> u64 {
+        self.live_calls_cut
+    }
+
     /// Traces a call: all its messages are kept, and those of its legs in transit.
     pub fn trace_call(&mut self, call: u64) {
         self.traced_calls.insert(call);
@@ -677,6 +685,10 @@
                         raise(&mut self.worst.told_after_end_s, to_seconds(now - at));
                     }
                 }
+                let stands_at_node = record.ended_at.is_none() && record.bye_at.is_none();
+                if stands_at_node && !record.released && !record.orphaned && !record.given_up {
+                    self.live_calls_cut += 1;
+                }
                 (record.released, record.release_by) = (true, None);
             }
             Observation::ReleaseToCaller { .. } => {
--- a/rehearsal/src/report.rs
+++ b/rehearsal/src/report.rs
@@ -240,6 +240,9 @@
     /// The longest delay against each time limit.
     #[serde(default)]
     pub worst: WorstDelays,
+    /// How many calls controllers released although they stood at their node.
+    #[serde(default)]
+    pub live_calls_cut: u64,
     /// The first calls that were lost.
     pub lost: Vec<LostCall>,
     /// Worth by the second.
@@ -336,6 +339,7 @@
             rules_broken: rules.collect(),
             breaches: breaches.collect(),
             worst: auditor.worst(),
+            live_calls_cut: auditor.live_calls_cut(),
             lost: statistics.lost.clone(),
             windows: statistics.windows.clone(),
             nodes: statistics.nodes.clone(),
--- a/rehearsal/src/soak/mod.rs
+++ b/rehearsal/src/soak/mod.rs
@@ -42,6 +42,8 @@
     pub rules_broken: BTreeMap<Rule, u64>,
     /// The longest delay against each time limit.
     pub worst: WorstDelays,
+    /// How many calls controllers released although they stood at their node, as it was not known whether they do.
+    pub live_calls_cut: u64,
     /// The breaches, each with its seed, time, call and the messages of that call.
     pub breaches: Vec<Value>,
 }
@@ -108,6 +110,7 @@
             }
         }
         self.worst.add(&run.worst);
+        self.live_calls_cut += run.live_calls_cut;
         for breach in &run.breaches {
             let mut breach = breach.clone();
             breach["seed"] = seed.into();
