Give up the releases for a machine that is gone once it refuses three connections

Cause: the link of a machine that is gone is kept while releases wait there, and was connected again every second for 10 s also where nothing listens any more. Change: three refusals in a row show that no process is at the address; the releases are dropped and the link is removed.

--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -232,6 +232,14 @@
         self.calls.exchange_disconnected(self.now, id, &unsent);
         if process_ended {
             self.calls.end_calls_of_ended_processes(self.now, address);
+            self.drop_releases_if_gone(id);
+        }
+    }
+
+    /// Drops the releases for a machine that is gone: no process is at its address any more.
+    fn drop_releases_if_gone(&mut self, id: ExchangeId) {
+        if let Some(link) = self.links.get_mut(&id).filter(|_| self.calls.directory.is_gone(id)) {
+            link.session.take_unacked_releases();
         }
     }
 
--- a/dillhold/tests/engine_exchanges.rs
+++ b/dillhold/tests/engine_exchanges.rs
@@ -357,6 +357,27 @@
     assert_eq!(to_exchange.matches("BYE ").count(), 2, "{to_exchange}");
 }
 
+/// Guards against connections that are tried for seconds at every machine that has gone with calls.
+#[test]
+fn machine_that_is_gone_and_refuses_connections_is_removed() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    let link = replace_process(&mut harness, caller);
+    harness.run_turn(|e| e.connection_lost(link));
+    harness.receive(journal, &journal_event(2, &[("s-1", "DELETED")]));
+    let mut refused = 0;
+    for _ in 0..100 {
+        let last = harness.last_connect_to(1).unwrap();
+        if !harness.is_closed(last) {
+            harness.run_turn(|e| e.connect_failed(last, true));
+            refused += 1;
+        }
+        harness.advance(100 * MS);
+    }
+    assert_eq!(take_notifications(&mut harness, caller).len(), 2);
+    assert!(refused <= 4, "{refused} connections refused");
+}
+
 /// The new process is listed once the old machine's calls were released: it may hold those of a lost connection.
 #[test]
 fn releases_for_a_machine_that_is_gone_are_left_to_its_successor() {
