--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -37,7 +37,7 @@
 use response_matcher::ResponseMatcher;
 use set_ups::Rejection;
 pub use standing::GroupState;
-use unknown_releases::{CallerRelease, UnknownReleases};
+use unknown_releases::{CallerRelease, ReleaseSender, UnknownReleases};
 
 /// Q.850 cause 41, temporary failure: a set-up failed, or a standing call was cut.
 pub const CAUSE_TEMPORARY_FAILURE: u8 = 41;
@@ -346,8 +346,8 @@
                 self.reject_set_up(now, conn, id, Rejection::Invalid)
             }
             CallerRequest::Release { call_id, cause, confirmed_caller } => {
-                let release = CallerRelease { call_id, cause };
-                self.handle_caller_release(now, conn, release, confirmed_caller)
+                let from = ReleaseSender { conn, is_confirmed: confirmed_caller };
+                self.handle_caller_release(now, from, CallerRelease { call_id, cause })
             }
         }
     }
--- a/dillhold/src/call/set_ups.rs
+++ b/dillhold/src/call/set_ups.rs
@@ -1,10 +1,12 @@
 //! Set-ups and releases of callers: which set-ups are entered in the table, and how one ends other than by the decision
 //! module.
 
+use std::collections::BTreeSet;
+
 use pitchgw::interface::{Event, ExchangeId, Nanos, NewCall, Outcome};
 
 use super::recent::EndedCall;
-use super::unknown_releases::CallerRelease;
+use super::unknown_releases::{CallerRelease, ReleaseSender};
 use super::{
     unix_ms, Call, CallerConnId, CallerNotification, Calls, Conduct, Deadline, ExchangeRequest, SetUp,
 };
@@ -216,9 +218,8 @@
     pub(super) fn handle_caller_release(
         &mut self,
         now: Nanos,
-        conn: CallerConnId,
+        from: ReleaseSender,
         release: CallerRelease,
-        confirmed_caller: bool,
     ) -> Conduct {
         let CallerRelease { call_id: id, cause } = release;
         let Some(call) = self.calls_by_id.get(&id) else {
@@ -226,12 +227,12 @@
             if self.ended_calls.contains(id) {
                 return Conduct::Sound;
             }
-            self.queue_unknown_release(now, conn, release, confirmed_caller);
+            self.queue_unknown_release(now, from, release);
             return Conduct::UnknownRelease;
         };
         if call.awaits_final_answer {
             // No connection owns a call that stands, but an open set-up belongs to the one that awaits its answer.
-            if call.caller_conn != conn {
+            if call.caller_conn != from.conn {
                 self.counters.increment("taken releases of foreign set-ups");
                 return Conduct::Bad;
             }
@@ -246,16 +247,10 @@
     }
 
     /// Releases a call that this process does not know. It may be from before its start and stand at any exchange.
-    fn queue_unknown_release(
-        &mut self,
-        now: Nanos,
-        conn: CallerConnId,
-        release: CallerRelease,
-        confirmed_caller: bool,
-    ) {
+    fn queue_unknown_release(&mut self, now: Nanos, from: ReleaseSender, release: CallerRelease) {
         self.counters.increment("taken releases of unknown calls");
         self.remember_ended_call(now, release.call_id, EndedCall { retired: true, sent_on: false });
-        if let Some(dropped) = self.unknown_releases.push(conn, release, confirmed_caller) {
+        if let Some(dropped) = self.unknown_releases.push(from, release) {
             // If its caller repeats it, it is not taken for one that crossed the end of its call.
             self.ended_calls.forget(dropped.call_id);
             self.counters.increment("errors releases of unknown calls dropped");
@@ -293,11 +288,16 @@
         }
     }
 
+    /// The ids of the set-ups on a caller's connection that await a final answer.
+    fn open_set_ups_on(&self, conn: CallerConnId) -> BTreeSet<u64> {
+        let calls = self.calls_by_connection.get(&conn);
+        calls.map(|calls| calls.open_set_ups.clone()).unwrap_or_default()
+    }
+
     /// Ends the open set-ups of a caller's connection that was closed. The id of one that was sent on is not accepted again,
     /// as it may have run; one that was not may be sent again on another connection.
     pub fn caller_disconnected(&mut self, now: Nanos, conn: CallerConnId) {
-        let open_set_ups = self.calls_by_connection.get(&conn).map(|calls| calls.open_set_ups.clone());
-        for id in open_set_ups.unwrap_or_default() {
+        for id in self.open_set_ups_on(conn) {
             self.counters.increment("errors set-ups lost with their caller");
             let sent_on = self.calls_by_id.get(&id).is_some_and(|call| call.sent_on);
             self.end_open_set_up(now, id, sent_on);
@@ -306,8 +306,7 @@
 
     /// Fails the open set-ups of a caller's connection whose memory is needed.
     pub fn fail_open_set_ups(&mut self, now: Nanos, conn: CallerConnId) {
-        let open_set_ups = self.calls_by_connection.get(&conn).map(|calls| calls.open_set_ups.clone());
-        for id in open_set_ups.unwrap_or_default() {
+        for id in self.open_set_ups_on(conn) {
             self.counters.increment("errors set-ups failed for want of memory");
             self.fail_set_up(now, id);
         }
--- a/dillhold/src/call/unknown_releases.rs
+++ b/dillhold/src/call/unknown_releases.rs
@@ -26,6 +26,15 @@
     pub cause: u8,
 }
 
+/// The connection that a release came on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReleaseSender {
+    /// The connection.
+    pub conn: CallerConnId,
+    /// Whether it is confirmed to be a caller's.
+    pub is_confirmed: bool,
+}
+
 /// A queue for each connection. The connections take turns.
 #[derive(Debug, Default)]
 struct FairQueue {
@@ -114,14 +123,9 @@
     }
 
     /// Queues a release. Returns the one that is dropped for it if too many wait.
-    pub fn push(
-        &mut self,
-        conn: CallerConnId,
-        release: CallerRelease,
-        confirmed_caller: bool,
-    ) -> Option<CallerRelease> {
-        let queue = if confirmed_caller { &mut self.of_confirmed_callers } else { &mut self.of_others };
-        queue.push(conn, release);
+    pub fn push(&mut self, from: ReleaseSender, release: CallerRelease) -> Option<CallerRelease> {
+        let queue = if from.is_confirmed { &mut self.of_confirmed_callers } else { &mut self.of_others };
+        queue.push(from.conn, release);
         if self.len() <= self.max_queued {
             return None;
         }
@@ -152,6 +156,10 @@
         CallerRelease { call_id, cause: 16 }
     }
 
+    fn sender(conn: CallerConnId, is_confirmed: bool) -> ReleaseSender {
+        ReleaseSender { conn, is_confirmed }
+    }
+
     fn pop_all(releases: &mut UnknownReleases, now: Nanos) -> Vec<u64> {
         std::iter::from_fn(|| releases.pop(now)).map(|release| release.call_id).collect()
     }
@@ -161,7 +169,7 @@
         const START: Nanos = 1_000_000 * MS;
         let mut releases = UnknownReleases::new(1_000);
         for call_id in 0..1_000 {
-            releases.push(1, release(call_id), false);
+            releases.push(sender(1, false), release(call_id));
         }
         assert_eq!(pop_all(&mut releases, START).len(), BURST as usize);
         assert_eq!(releases.next_send_at(), START + SEND_INTERVAL);
@@ -174,9 +182,9 @@
     fn confirmed_callers_come_first_and_other_connections_take_turns() {
         let mut releases = UnknownReleases::new(100);
         for (conn, call_id) in [(1, 10), (1, 11), (1, 12), (2, 20)] {
-            releases.push(conn, release(call_id), false);
+            releases.push(sender(conn, false), release(call_id));
         }
-        releases.push(3, release(30), true);
+        releases.push(sender(3, true), release(30));
         assert_eq!(pop_all(&mut releases, 0), [30, 10, 20, 11, 12]);
     }
 
@@ -187,12 +195,12 @@
         for (conn, call_id, confirmed_caller) in
             [(3, 30, true), (3, 31, true), (1, 10, false), (2, 20, false)]
         {
-            assert_eq!(releases.push(conn, release(call_id), confirmed_caller), None);
+            assert_eq!(releases.push(sender(conn, confirmed_caller), release(call_id)), None);
         }
-        assert_eq!(releases.push(1, release(11), false), Some(release(11)));
-        assert_eq!(releases.push(3, release(32), true), Some(release(20)));
-        assert_eq!(releases.push(3, release(33), true), Some(release(10)));
-        assert_eq!(releases.push(3, release(34), true), Some(release(34)));
+        assert_eq!(releases.push(sender(1, false), release(11)), Some(release(11)));
+        assert_eq!(releases.push(sender(3, true), release(32)), Some(release(20)));
+        assert_eq!(releases.push(sender(3, true), release(33)), Some(release(10)));
+        assert_eq!(releases.push(sender(3, true), release(34)), Some(release(34)));
         assert_eq!(releases.len(), 4);
     }
 }
