Review the calls of lost connections for as long as they stand

Cause: the calls of a lost connection were reviewed once, 7.25 s after the loss; and the time of a loss by the peer was taken for the last sign of life, where the machine may have vanished before.

--- a/dillhold/src/engine/discovery.rs
+++ b/dillhold/src/engine/discovery.rs
@@ -102,7 +102,7 @@
     }
 
     /// How long after a request its answer times out.
-    pub fn answer_timeout(&self) -> Nanos {
+    fn answer_timeout(&self) -> Nanos {
         if self.response_time <= ANSWER_TIMEOUT_MARGIN {
             return REQUESTED_WAIT + ANSWER_TIMEOUT_MARGIN;
         }
--- a/dillhold/src/engine/journal.rs
+++ b/dillhold/src/engine/journal.rs
@@ -36,9 +36,14 @@
         JournalClient { poll: JournalPoll::new(address), conn: None, late_request: None, heard_at: 0 }
     }
 
-    /// Whether requests fail and no answer has come for longer than one takes, so that updates may be missing.
-    pub fn is_out_of_contact(&self, now: Nanos) -> bool {
-        self.poll.is_failing() && now >= self.heard_at + self.poll.answer_timeout()
+    /// Whether no answer has come since a request failed, so that updates may be missing.
+    pub fn is_failing(&self) -> bool {
+        self.poll.is_failing()
+    }
+
+    /// When the last answer came.
+    pub fn heard_at(&self) -> Nanos {
+        self.heard_at
     }
 }
 
--- a/dillhold/src/engine/mod.rs
+++ b/dillhold/src/engine/mod.rs
@@ -583,7 +583,7 @@
                     true => "errors exchange connections unmade",
                     false => "errors exchange connections lost",
                 });
-                self.connection_with_calls_ended(id, conn_id, disconnect);
+                self.connection_with_calls_ended(id, conn_id);
                 self.exchange_disconnected(id, disconnect);
             }
             Peer::Check(check) => self.check_disconnected(check.exchange, refused),
--- a/dillhold/tests/engine_exchanges.rs
+++ b/dillhold/tests/engine_exchanges.rs
@@ -451,6 +451,30 @@
     }
 }
 
+/// Guards against the same with a connection that was lost while the journal was heard: the process may have ended since.
+#[test]
+fn calls_of_a_connection_lost_before_the_journal_fell_silent_end() {
+    let mut harness = EngineHarness::new();
+    let (journal, caller) = (harness.establish(9), harness.accept_caller());
+    let exchange = harness.establish(1);
+    establish_call(&mut harness, caller, exchange, 7);
+    harness.advance(1_100 * MS);
+    harness.run_turn(|e| e.connection_lost(exchange));
+    harness.advance(10 * MS);
+    let again = harness.establish(1);
+    let mut cut = Vec::new();
+    for second in 0..18 {
+        harness.receive(again, &group_report(0));
+        harness.advance(1_000 * MS);
+        if second < 10 && !harness.take_written(journal).is_empty() {
+            harness.receive(journal, &journal_answer(""));
+        }
+        cut.extend(take_notifications(&mut harness, caller));
+        assert!(second >= 10 || cut.is_empty(), "the journal is heard");
+    }
+    assert_eq!(cut, [(binary::kind::RELEASE, 7, Some(41))]);
+}
+
 /// Guards against two attempts out at once: an exchange that fails set-ups is tried again at once, and the second copy of
 /// its answer, some milliseconds later, was taken for the end of the next attempt.
 #[test]
