--- a/rehearsal/src/audit.rs
+++ b/rehearsal/src/audit.rs
@@ -166,6 +166,8 @@
     },
     /// The caller gave up its set-up.
     CallerGaveUp { controller: usize, id: u64 },
+    /// The caller released a call that stands: it knows that the call is over.
+    ReleaseFromCaller { controller: usize, id: u64 },
     /// The caller's connection ended before the final answer to its set-up.
     CallerDisconnected { controller: usize, id: u64 },
     /// The controller notified the caller that the call stands.
@@ -207,6 +209,7 @@
         match *self {
             Observation::SetUpFromCaller { controller, id, .. }
             | Observation::CallerGaveUp { controller, id }
+            | Observation::ReleaseFromCaller { controller, id }
             | Observation::CallerDisconnected { controller, id }
             | Observation::AnswerToCaller { controller, id, .. }
             | Observation::ReleaseToCaller { controller, id, .. }
@@ -232,6 +235,7 @@
                 )
             }
             Observation::CallerGaveUp { .. } => "given up by its caller".into(),
+            Observation::ReleaseFromCaller { .. } => "released by its caller".into(),
             Observation::CallerDisconnected { .. } => "its caller's connection ended".into(),
             Observation::AnswerToCaller { description, .. } => {
                 format!("caller told: stands ({} bytes)", description.len())
@@ -705,7 +709,9 @@
             Observation::AttemptConnectionLost { .. } if record.attempt_pending => {
                 (record.attempt_pending, record.release_wait_from) = (false, Some(now))
             }
-            Observation::ByeFromController { .. } => (record.released, record.release_by) = (true, None),
+            Observation::ByeFromController { .. } | Observation::ReleaseFromCaller { .. } => {
+                (record.released, record.release_by) = (true, None)
+            }
             Observation::ResponseFromNode { code, description, .. } => {
                 record.attempt_pending = false;
                 match code {
--- a/rehearsal/src/soak/plan.rs
+++ b/rehearsal/src/soak/plan.rs
@@ -37,7 +37,7 @@
     nodes: u32,
     /// How long calls are offered.
     seconds: f64,
-    /// Nodes whose machine is stopped by a fault.
+    /// Nodes whose machine is stopped or cut off by a fault.
     stopped_nodes: BTreeSet<u32>,
 }
 
@@ -93,7 +93,10 @@
                 vec![self.timed_event(at, [2.0, 6.0], &format!("kind: 'bad-callers', every: 0.1, {node}"))]
             }
             6 => {
-                let nodes = self.some_nodes();
+                // What ends while a node is cut off could not be told if its process ended as well.
+                let cut_off = self.draw_some_nodes();
+                self.stopped_nodes.extend(&cut_off);
+                let nodes = nodes_key(&cut_off);
                 vec![self.timed_event(at, [0.5, 6.0], &format!("kind: 'cut-off', {nodes}"))]
             }
             7 => {
@@ -181,7 +184,7 @@
         ]
     }
 
-    /// Processes that end without notice and are replaced at their address, at nodes that no other fault stops.
+    /// Processes that end without notice and are replaced at their address, at nodes that no other fault stops or cuts off.
     fn takeovers(&mut self) -> Vec<String> {
         let mut free_nodes: Vec<u32> =
             (0..self.nodes).filter(|node| !self.stopped_nodes.contains(node)).collect();
--- a/rehearsal/src/world/nodes.rs
+++ b/rehearsal/src/world/nodes.rs
@@ -191,10 +191,12 @@
             .map(|(id, _)| *id)
             .collect();
         for leg_id in legs_on_connection {
-            self.auditor.observe(
-                self.now,
-                Observation::AttemptConnectionLost { controller, id: self.legs[&leg_id].call_id },
-            );
+            let call_id = self.legs[&leg_id].call_id;
+            // The connection of an earlier attempt says nothing about the latest one.
+            if self.latest_leg.get(&(controller, call_id)) == Some(&leg_id) {
+                self.auditor
+                    .observe(self.now, Observation::AttemptConnectionLost { controller, id: call_id });
+            }
             if self.legs[&leg_id].state == LegState::SettingUp {
                 self.cancel_leg(leg_id);
             }
--- a/rehearsal/src/world/takeovers.rs
+++ b/rehearsal/src/world/takeovers.rs
@@ -5,9 +5,12 @@
 use pitchgw::interface::Nanos;
 
 use super::nodes::Machine;
-use super::{seconds_to_nanos, ConnectOutcome, Event, SimConnectionId, World};
+use super::{seconds_to_nanos, ConnectOutcome, Event, SimConnectionId, World, MS};
 use crate::script::{ScriptEvent, Seconds, DEFAULT_DOWN_SECONDS};
 
+/// Time from the delivery of what was sent last until the connections end.
+const CLOSE_DELAY: Nanos = MS;
+
 /// What happens in a takeover, at a time of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum TakeoverStep {
@@ -59,7 +62,7 @@
         schedule(death + down, TakeoverStep::Listen);
         schedule(nanos(event.listed_after), TakeoverStep::SuccessorListed);
         if !vanishes {
-            schedule(death + nanos(event.under_way), TakeoverStep::Close);
+            schedule(death + nanos(event.under_way) + CLOSE_DELAY, TakeoverStep::Close);
         }
         if let (Some(gone_after), false) = (event.gone_after, has_same_id) {
             schedule(seconds_to_nanos(gone_after.0), TakeoverStep::GoneListed);
