--- a/dillhold/src/engine/lost_connections.rs
+++ b/dillhold/src/engine/lost_connections.rs
@@ -13,9 +13,9 @@
 
 /// How old the end of a process may be that the journal has not reported at the last contact. Its calls end
 /// [`DEAD_AFTER`] after that.
-const MAX_REPORT_AGE: Nanos = 3_250 * MS;
+const MAX_REPORT_AGE: Nanos = 3_750 * MS;
 /// Interval between reviews of the calls of a lost connection.
-const REVIEW_INTERVAL: Nanos = 500 * MS;
+const REVIEW_INTERVAL: Nanos = 250 * MS;
 
 impl Engine {
     /// Starts reviewing the calls that were answered on a connection which has ended.
