Test a silent connection with calls itself, and replace it although an attempt is pending

Cause: a silent connection was not replaced while an attempt was pending on it, which may be for as long as its caller waits, and the failure detector was satisfied by checks that a successor at the address answered. Change: when an exchange with calls is silent, a test is sent on its connection as well. If that goes unanswered for a second, a pending attempt keeps the connection no longer. A process that answers keeps it, so that calls there remain known.

--- a/dillhold/src/engine/exchanges.rs
+++ b/dillhold/src/engine/exchanges.rs
@@ -45,6 +45,8 @@
     /// When the connection was last established, and when input last came on one.
     connected_at: Nanos,
     pub(super) last_heard_at: Nanos,
+    /// When the first test was sent on the connection after the last input.
+    pub(super) tested_at: Option<Nanos>,
     /// Whether a reconnect is among the deadlines.
     reconnect_scheduled: bool,
     /// When the first set-up was sent after the last input.
@@ -59,6 +61,7 @@
         self.awaiting_reply_since = None;
         self.silent_connections = 0;
         self.last_heard_at = now;
+        self.tested_at = None;
         if self.session.has_requests {
             self.detector.record_input(now);
         } else {
@@ -99,6 +102,7 @@
                     last_refusal_at: 0,
                     connected_at: 0,
                     last_heard_at: self.now,
+                    tested_at: None,
                     reconnect_scheduled: false,
                     awaiting_reply_since: None,
                     silent_connections: 0,
@@ -136,6 +140,7 @@
             link.refusals = 0;
             link.connected_at = self.now;
             link.last_heard_at = self.now;
+            link.tested_at = None;
             link.detector.connected(self.now);
             if link.session.has_unsent_set_ups() {
                 self.expect_reply(id);
--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -26,6 +26,8 @@
 /// callers have to be notified within 8 s.
 const QUIET_CONNECTION_TIMEOUT: Nanos = 5_000 * MS;
 
+/// How long the test on a quiet connection may go unanswered while attempts are pending there.
+const TEST_TIMEOUT: Nanos = 1_000 * MS;
 /// The number of a test that shows whether a connection still works, and nothing else.
 const LIVENESS_TEST: TestNumber = 0;
 
@@ -66,6 +68,7 @@
                 );
             }
             Liveness::Suspect(next_check_at) => {
+                self.test_quiet_connection(id);
                 self.start_check(id);
                 self.schedule_liveness_check(id, next_check_at);
             }
@@ -134,14 +137,27 @@
         check.session.process_input(self.now, from, &mut self.calls).is_ok()
     }
 
-    /// Replaces a connection without recent input to an exchange that is alive. Not while attempts are pending, and not
-    /// if the exchange sends no greeting: such an exchange may be idle, and its checks go on for as long as it is.
+    /// Sends a test on the connection of a silent exchange: a check shows that some process is alive at the address, but not
+    /// that the connection still reaches it.
+    fn test_quiet_connection(&mut self, id: ExchangeId) {
+        let conn = self.links.get(&id).and_then(|link| link.conn).filter(|conn| self.is_connected(*conn));
+        if let (Some(conn_id), Some(link)) = (conn, self.links.get_mut(&id)) {
+            link.tested_at = link.tested_at.or(Some(self.now));
+            link.session.send_test(LIVENESS_TEST);
+            self.needs_flush.insert(conn_id);
+        }
+    }
+
+    /// Replaces a connection without recent input to an exchange that is alive. While attempts are pending, only if a test
+    /// on it goes unanswered, and not if the exchange sends no greeting: such an exchange may be idle, and its checks go on
+    /// for as long as it is.
     fn replace_quiet_connection(&mut self, id: ExchangeId) {
         let Some(link) = self.links.get(&id) else { return };
         let Some(conn) = link.conn.filter(|conn| self.is_connected(*conn)) else { return };
         let quiet =
             link.detector.sends_greeting() && self.now >= link.last_heard_at + QUIET_CONNECTION_TIMEOUT;
-        if quiet && !self.calls.has_pending_attempts(id) {
+        let is_unanswered = link.tested_at.is_some_and(|at| self.now >= at + TEST_TIMEOUT);
+        if quiet && (is_unanswered || !self.calls.has_pending_attempts(id)) {
             self.close(conn, CloseReason::ExchangeQuiet);
         }
     }
--- a/dillhold/tests/common/journal.rs
+++ b/dillhold/tests/common/journal.rs
@@ -5,12 +5,13 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::time::Duration;
 
+use dillhold::session::journal::LONG_POLL_MS;
 use serde_json::{json, Value};
 
 /// Position of the events in the configuration.
 const KNOWN_POSITION: u64 = 1;
-/// How long a request is held before it is answered without an event.
-const MAX_WAIT: Duration = Duration::from_secs(4);
+/// How long a request is held before it is answered without an event, as requested.
+const MAX_WAIT: Duration = Duration::from_millis(LONG_POLL_MS);
 
 /// The journal service.
 pub struct JournalService {
--- a/dillhold/tests/common/mod.rs
+++ b/dillhold/tests/common/mod.rs
@@ -107,18 +107,28 @@
     }
 
     /// Reads a SIP message that has to begin with `start`. Returns the call id, the `CSeq` number and the whole
-    /// message.
+    /// message. Tests before it are passed at once, as an exchange does.
     pub fn read_sip(&mut self, start: &str) -> (u64, u32, Vec<u8>) {
-        let (id, number, text) = self.read_message(|bytes| {
-            let (m, length) = sip::parse(bytes).unwrap()?;
-            let number = m.cseq().expect("a CSeq").0;
-            Some(((m.call_id().expect("a Call-ID"), number, bytes[..length].to_vec()), length))
-        });
+        let (id, number, text) = loop {
+            let (id, number, text) = self.read_any_sip();
+            if !text.starts_with(b"OPTIONS ") || start.starts_with("OPTIONS ") {
+                break (id, number, text);
+            }
+            self.send_sip("SIP/2.0 200 OK", id, (number, "OPTIONS"), "", b"");
+        };
         let printable = String::from_utf8_lossy(&text);
         assert!(printable.starts_with(start), "expected {start}, got {printable}");
         (id, number, text)
     }
 
+    fn read_any_sip(&mut self) -> (u64, u32, Vec<u8>) {
+        self.read_message(|bytes| {
+            let (m, length) = sip::parse(bytes).unwrap()?;
+            let number = m.cseq().expect("a CSeq").0;
+            Some(((m.call_id().expect("a Call-ID"), number, bytes[..length].to_vec()), length))
+        })
+    }
+
     /// Sends a SIP request or response with this start line.
     pub fn send_sip(&mut self, line: &str, id: u64, cseq: (u32, &str), headers: &str, body: &[u8]) {
         let mut out = Vec::new();
--- a/dillhold/tests/engine_exchanges.rs
+++ b/dillhold/tests/engine_exchanges.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::harness::*;
-use common::journal_target;
+use common::{journal_target, DESCRIPTION};
 use dillhold::codec::{binary, sip};
 use dillhold::engine::{ConnId, Output};
 use pitchgw::interface::Nanos;
@@ -61,8 +61,13 @@
     set_ups
 }
 
-/// Answers the tests that were sent on the connection of an exchange.
+/// Answers the tests that were sent on the connection of an exchange, at least one.
 fn answer_tests(harness: &mut EngineHarness, exchange: ConnId) {
+    assert!(answer_tests_if_any(harness, exchange), "a test was sent");
+}
+
+/// Answers the tests that were sent on the connection of an exchange. Returns whether there were any.
+fn answer_tests_if_any(harness: &mut EngineHarness, exchange: ConnId) -> bool {
     let bytes = harness.take_written(exchange);
     let (mut rest, mut answers) = (&bytes[..], Vec::new());
     while let Some((message, length)) = sip::parse(rest).unwrap() {
@@ -72,8 +77,8 @@
         }
         rest = &rest[length..];
     }
-    assert!(!answers.is_empty(), "a test was sent");
     harness.receive(exchange, &answers);
+    !answers.is_empty()
 }
 
 fn error_response(id: u64, number: u32) -> Vec<u8> {
@@ -167,6 +172,31 @@
     assert_eq!(take_notifications(&mut harness, caller), [(binary::kind::RELEASE, 7, Some(16))]);
 }
 
+/// Guards against the same while an attempt is pending that is never answered, for as long as its caller waits. A process that
+/// answers a test on the connection keeps it.
+#[test]
+fn replaces_silent_connection_with_a_pending_attempt_unless_a_test_is_answered() {
+    for passes_tests in [false, true] {
+        let mut harness = EngineHarness::new();
+        let (silent, caller) = (harness.establish(1), harness.accept_caller());
+        harness.receive(silent, &group_report(9));
+        establish_call(&mut harness, caller, silent, 7);
+        harness.receive(caller, &set_up_message_with(8, "9000", DESCRIPTION));
+        harness.receive(silent, &group_report(8));
+        harness.take_written(silent);
+        harness.advance(2_100 * MS);
+        let check = harness.establish(1);
+        for _ in 0..8 {
+            harness.receive(check, &group_report(8));
+            if passes_tests {
+                answer_tests_if_any(&mut harness, silent);
+            }
+            harness.advance(500 * MS);
+        }
+        assert_eq!(harness.is_closed(silent), !passes_tests);
+    }
+}
+
 /// Guards against taking an exchange that lost its calls while unreachable, and keeps its address and id, for one
 /// that was only cut off; the calls would stand until the journal reports its start.
 #[test]
