Count the calls of a connection, and test a silent one once

From the second read of the change: whether calls were answered on a lost connection was looked up in the whole table, four times a second for each such connection; a count beside that of the exchange tells now. A silent connection was sent a test at each check, every 250 ms; once for each silence is enough.

--- a/dillhold/src/call/ended_processes.rs
+++ b/dillhold/src/call/ended_processes.rs
@@ -132,7 +132,7 @@
 
     /// Whether a call stands that was answered on a connection.
     pub fn has_calls_answered_on(&self, conn: ExchangeConnId) -> bool {
-        self.calls_by_id.values().any(|call| call.answered_attempt.is_some() && call.answered_on == conn)
+        self.standing_by_connection.contains_key(&conn)
     }
 
     /// Ends the calls that were answered on a connection which has ended, as nothing tells whether their process lives on.
--- a/dillhold/src/call/mod.rs
+++ b/dillhold/src/call/mod.rs
@@ -148,6 +148,8 @@
     answer_by: Option<Nanos>,
     /// Whether new set-ups are refused because the process is shutting down.
     refuses_set_ups: bool,
+    /// The same by the connection that brought the answer.
+    standing_by_connection: HashMap<ExchangeConnId, usize>,
     /// The first group state that each exchange reported since its connection was established.
     group_states: HashMap<ExchangeId, GroupState>,
     processes: AnsweringProcesses,
@@ -193,6 +195,7 @@
             response_matcher: ResponseMatcher::default(),
             open_set_ups: 0,
             standing_by_exchange: HashMap::new(),
+            standing_by_connection: HashMap::new(),
             answer_by: None,
             refuses_set_ups: false,
             group_states: HashMap::new(),
@@ -418,7 +421,7 @@
         let (handle, conn) = (call.handle, call.caller_conn);
         self.mark_final_answer_given(id);
         self.update_connection(conn, |calls| calls.standing_count += 1);
-        self.increment_standing_calls(attempt.exchange);
+        self.increment_standing_calls(attempt.exchange, from.conn);
         self.counters.increment("answered stands");
         self.notify_caller(Some(conn), id, CallerNotification::Answer(description.to_vec()));
         self.dispatch_event(
@@ -577,7 +580,7 @@
             self.ids_by_handle.remove(&call.handle);
             if let Some(attempt) = call.answered_attempt {
                 self.update_connection(call.caller_conn, |calls| calls.standing_count -= 1);
-                self.decrement_standing_calls(attempt.exchange);
+                self.decrement_standing_calls(attempt.exchange, call.answered_on);
             }
             self.remember_ended_call(now, id, EndedCall { retired: retire_id, sent_on: call.sent_on });
         }
--- a/dillhold/src/call/standing.rs
+++ b/dillhold/src/call/standing.rs
@@ -1,6 +1,7 @@
 //! Standing calls, indexed by exchange, and how they end, including when the exchange reports nothing.
 
-use std::collections::hash_map::Entry;
+use std::collections::hash_map::{Entry, HashMap};
+use std::hash::Hash;
 
 use pitchgw::interface::{Cause, ExchangeId, LoadReport, Nanos, Outcome};
 
@@ -28,9 +29,20 @@
     pub answered_on: ExchangeConnId,
 }
 
+/// Decrements a count, which has no entry once it is zero.
+fn decrement<K: Eq + Hash>(counts: &mut HashMap<K, usize>, key: K) {
+    if let Entry::Occupied(mut count) = counts.entry(key) {
+        *count.get_mut() -= 1;
+        if *count.get() == 0 {
+            count.remove();
+        }
+    }
+}
+
 impl Calls {
-    /// Counts a call that stands on an exchange, which is watched from the first one on.
-    pub(super) fn increment_standing_calls(&mut self, exchange: ExchangeId) {
+    /// Counts a call that stands on an exchange, which is watched from the first one on, and was answered on a connection.
+    pub(super) fn increment_standing_calls(&mut self, exchange: ExchangeId, answered_on: ExchangeConnId) {
+        *self.standing_by_connection.entry(answered_on).or_default() += 1;
         let standing_calls = self.standing_by_exchange.entry(exchange).or_default();
         *standing_calls += 1;
         if *standing_calls == 1 {
@@ -88,7 +100,7 @@
     /// Ends calls without word of their exchange. It may still hold them, so that releases are queued for it as well.
     pub(super) fn end_at_both_sides(&mut self, now: Nanos, calls: Vec<StandingCall>) {
         for call in calls {
-            // A machine that is gone has no link for long.
+            // The link of a machine that is gone is removed once its calls have ended.
             let to =
                 self.directory.successor(call.exchange).map_or(call.exchange, |(successor, _)| successor);
             self.request_exchange(to, call.id, ExchangeRequest::Release(CAUSE_TEMPORARY_FAILURE));
@@ -103,7 +115,7 @@
     }
 
     /// Ends the calls that stand at the address of an exchange and were answered before it became reachable again: it has
-    /// lost them.
+    /// lost them. Both times are those of this process.
     pub fn end_calls_from_before(&mut self, now: Nanos, exchange: ExchangeId, reachable_since: Nanos) {
         let calls = self.standing_calls(|call, attempt| {
             self.is_same_endpoint(exchange, attempt.exchange) && call.stands_since < reachable_since
@@ -123,13 +135,9 @@
         self.standing_by_exchange.get(&exchange).copied().unwrap_or(0)
     }
 
-    pub(super) fn decrement_standing_calls(&mut self, exchange: ExchangeId) {
-        if let Entry::Occupied(mut count) = self.standing_by_exchange.entry(exchange) {
-            *count.get_mut() -= 1;
-            if *count.get() == 0 {
-                count.remove();
-            }
-        }
+    pub(super) fn decrement_standing_calls(&mut self, exchange: ExchangeId, answered_on: ExchangeConnId) {
+        decrement(&mut self.standing_by_exchange, exchange);
+        decrement(&mut self.standing_by_connection, answered_on);
     }
 
     /// Circuits seized by the calls that stand at the address of an exchange and were sent there before a time.
--- a/dillhold/src/engine/liveness.rs
+++ b/dillhold/src/engine/liveness.rs
@@ -137,12 +137,13 @@
         check.session.process_input(self.now, from, &mut self.calls).is_ok()
     }
 
-    /// Sends a test on the connection of a silent exchange: a check shows that some process is alive at the address, but not
-    /// that the connection still reaches it.
+    /// Sends a test on the connection of a silent exchange, once for each silence: a check shows that some process is alive
+    /// at the address, but not that the connection still reaches it.
     fn test_quiet_connection(&mut self, id: ExchangeId) {
-        let conn = self.links.get(&id).and_then(|link| link.conn).filter(|conn| self.is_connected(*conn));
+        let untested = self.links.get(&id).filter(|link| link.tested_at.is_none());
+        let conn = untested.and_then(|link| link.conn).filter(|conn| self.is_connected(*conn));
         if let (Some(conn_id), Some(link)) = (conn, self.links.get_mut(&id)) {
-            link.tested_at = link.tested_at.or(Some(self.now));
+            link.tested_at = Some(self.now);
             link.session.send_test(LIVENESS_TEST);
             self.needs_flush.insert(conn_id);
         }
